--- /dev/null
+++ b/src/admin/index.ts
@@ -0,0 +1,2 @@
+export * from './api.js';
+export * from './settings.js';
--- /dev/null
+++ b/src/admin/settings.ts
@@ -0,0 +1,100 @@
+import * as v from 'valibot';
+import { isObject } from '../kernel/index.js';
+import { DEFAULT_TUNABLES, type Tunables } from '../speculation/index.js';
+import { SETTINGS, Urgency, type Mirror, type StateClient } from '../state/index.js';
+
+/** What operators set. Stored in the state service and taken up by every node through the watch. */
+export interface OperatorSettings {
+  readonly tunables: Tunables;
+  readonly cordoned: ReadonlySet<string>;
+  readonly drained: ReadonlySet<string>;
+}
+
+const share = v.pipe(v.number(), v.minValue(0), v.maxValue(1));
+const weight = v.pipe(v.number(), v.minValue(0), v.maxValue(10));
+
+const tunables = v.strictObject({
+  alpha: v.optional(weight),
+  beta: v.optional(weight),
+  mu: v.optional(share),
+  omega: v.optional(share),
+  phi: v.optional(share),
+  progressCap: v.optional(v.pipe(v.number(), v.minValue(0.5), v.maxValue(0.999))),
+  baseline: v.optional(v.pipe(v.number(), v.minValue(1), v.maxValue(10))),
+  floor: v.optional(v.pipe(v.number(), v.minValue(1), v.maxValue(10))),
+  roundShare: v.optional(v.pipe(v.number(), v.gtValue(0), v.maxValue(1))),
+});
+
+export type TunablesPatch = v.InferOutput<typeof tunables>;
+export type MachineMark = 'cordon' | 'drain' | 'uncordon';
+
+export function parseTunables(body: unknown): { ok: true; patch: TunablesPatch } | { ok: false; reason: string } {
+  const result = v.safeParse(tunables, body);
+  if (result.success) return { ok: true, patch: result.output };
+  const issue = result.issues[0];
+  return { ok: false, reason: `${v.getDotPath(issue) ?? 'body'}: ${issue.message}` };
+}
+
+const strings = (value: unknown): string[] => (Array.isArray(value) ? value.filter((x) => typeof x === 'string') : []);
+
+export function decodeSettings(value: unknown): OperatorSettings {
+  const stored = isObject(value) ? value : {};
+  const parsed = parseTunables(stored['tunables'] ?? {});
+  const known = parsed.ok ? Object.fromEntries(Object.entries(parsed.patch).filter(([, x]) => x !== undefined)) : {};
+  return {
+    tunables: { ...DEFAULT_TUNABLES, ...known },
+    cordoned: new Set(strings(stored['cordoned'])),
+    drained: new Set(strings(stored['drained'])),
+  };
+}
+
+export const encodeSettings = (s: OperatorSettings): unknown => ({
+  tunables: s.tunables,
+  cordoned: [...s.cordoned].sort(),
+  drained: [...s.drained].sort(),
+});
+
+export function mark(s: OperatorSettings, machine: string, how: MachineMark): OperatorSettings {
+  const cordoned = new Set(s.cordoned);
+  const drained = new Set(s.drained);
+  cordoned.delete(machine);
+  drained.delete(machine);
+  if (how === 'cordon') cordoned.add(machine);
+  if (how === 'drain') drained.add(machine);
+  return { ...s, cordoned, drained };
+}
+
+/** Reads, changes and stores the settings under guard; null when the state service gave no answer. */
+export class SettingsStore {
+  constructor(
+    private readonly state: StateClient,
+    private readonly mirror: Mirror,
+  ) {}
+
+  get current(): OperatorSettings {
+    return decodeSettings(this.mirror.get(SETTINGS)?.value);
+  }
+
+  async read(): Promise<OperatorSettings | null> {
+    const read = await this.state.get(SETTINGS);
+    if (read.kind === 'unavailable') return null;
+    return decodeSettings(read.kind === 'found' ? read.entry.value : null);
+  }
+
+  async change(how: (settings: OperatorSettings) => OperatorSettings): Promise<OperatorSettings | null> {
+    for (let tries = 0; tries < 4; tries++) {
+      const read = await this.state.get(SETTINGS);
+      if (read.kind === 'unavailable') return null;
+      const next = how(decodeSettings(read.kind === 'found' ? read.entry.value : null));
+      const version = read.kind === 'found' ? read.entry.version : 0;
+      const value = encodeSettings(next);
+      const result = await this.state.txn(Urgency.accept, [{ key: SETTINGS, version }], [{ put: SETTINGS, value }]);
+      if (result.kind === 'ok') {
+        this.mirror.apply({ key: SETTINGS, value, removed: false, version: result.revision });
+        return next;
+      }
+      if (result.kind === 'refused') return null;
+    }
+    return null;
+  }
+}
--- /dev/null
+++ b/src/cloud/index.ts
@@ -0,0 +1,2 @@
+export * from './client.js';
+export type { MachineType, Rental, RentalPhase, RentRequest } from './wire.js';
--- /dev/null
+++ b/src/config/index.ts
@@ -0,0 +1,1 @@
+export * from './settings.js';
--- /dev/null
+++ b/src/holder/holder.ts
@@ -0,0 +1,936 @@
+import type { MachineType } from '../cloud/index.js';
+import type { Settings } from '../config/index.js';
+import { decodeRecord, encodeRecord, type JobRegistry, type JobSpec } from '../jobs/index.js';
+import {
+  attempt,
+  Bits,
+  isObject,
+  jobId,
+  millis,
+  parseTaskKey,
+  revision,
+  taskKey,
+  type Attempt,
+  type Clock,
+  type JobId,
+  type Logger,
+  type MachineId,
+  type Millis,
+  type NodeName,
+  type Revision,
+  type ShardName,
+  type TaskKey,
+} from '../kernel/index.js';
+import { decodeShard, encodeShard, settleShard, type PreviousHolder, type ShardValue } from '../membership/index.js';
+import type { DemandSummary, MachineSummary, ShardSummary } from '../peers/index.js';
+import { planPlacement, type MachineView, type PendingJob, type Stoppable, type TeamUse } from '../placement/index.js';
+import { chooseRestarts, flagTasks, median, resourceR, type Flag, type Tunables } from '../speculation/index.js';
+import { JOBS, jobKey, shardKey, Urgency, type Change, type Mirror, type StateClient } from '../state/index.js';
+import { encodeRedirect, encodeReply, type ListedTask, type Order, type WorkerMessage } from '../workers/index.js';
+import { HeldMachine } from './machine.js';
+import { JobRun, type ActiveTask, type StopReason } from './run.js';
+
+/** What operators have set; see the admin slice. */
+export interface OperatorView {
+  readonly tunables: Tunables;
+  readonly cordoned: ReadonlySet<string>;
+  readonly drained: ReadonlySet<string>;
+}
+
+export interface HolderDeps {
+  readonly self: NodeName;
+  readonly settings: Settings;
+  readonly state: StateClient;
+  readonly mirror: Mirror;
+  readonly registry: JobRegistry;
+  readonly clock: Clock;
+  readonly log: Logger;
+  types(): ReadonlyMap<string, MachineType>;
+  operator(): OperatorView;
+  /** Until when at least nobody else can have taken our shards over. */
+  heldUntil(): Millis;
+  /** Something is to be done soon. */
+  nudge(): void;
+  /** Another shard that has room for this job now. */
+  roomElsewhere(spec: JobSpec, count: number): ShardName | null;
+}
+
+export interface ReportReply {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+const MAX_READY = 100;
+const PROGRESS_EVERY_MS = 1500;
+const STOP_AGAIN_MS = 2500;
+const MOVE_AFTER_MS = 1200;
+const LEAVE_WITHIN_MS = 10_000;
+
+/**
+ * Holds one shard: its open jobs and its block of machines. What is wanted comes from the state
+ * service, what is from the workers; each round works out the difference. A restart and a takeover
+ * are the same: claim, fence every machine, go on.
+ */
+export class ShardHolder {
+  readonly machines = new Map<MachineId, HeldMachine>();
+  readonly jobs = new Map<JobId, JobRun>();
+  /** Machines of the block at the claim that may still run what we have not seen. */
+  private readonly claimFence = new Set<MachineId>();
+  private attempts = 0;
+  private proof: Millis | null;
+  private frozen = false;
+  private demand: DemandSummary[] = [];
+  private lastSpeculation: Millis;
+  private dropped = false;
+
+  constructor(
+    readonly shard: ShardName,
+    readonly claimedAt: Revision,
+    value: ShardValue,
+    readonly previous: PreviousHolder | null,
+    private readonly deps: HolderDeps,
+  ) {
+    const now = deps.clock.now();
+    this.lastSpeculation = now;
+    this.proof = previous === null ? now : null;
+    this.syncBlock(value, claimedAt);
+    for (const id of this.machines.keys()) this.claimFence.add(id);
+    for (const entry of deps.mirror.under(JOBS)) {
+      this.onJob({ key: entry.key, value: entry.value, removed: false, version: entry.version });
+    }
+  }
+
+  get fenced(): boolean {
+    return this.claimFence.size === 0;
+  }
+
+  /** The earlier holder is known to command no more: the workers' leases run out from here on. */
+  proven(): void {
+    if (this.proof !== null) return;
+    const now = this.deps.clock.now();
+    this.proof = now;
+    for (const id of this.claimFence) this.machines.get(id)?.belief.answered(now);
+    this.deps.log.info({ shard: this.shard }, 'the earlier holder is known to have stopped');
+  }
+
+  get awaitsProof(): boolean {
+    return this.proof === null && this.claimFence.size > 0;
+  }
+
+  drop(): void {
+    this.dropped = true;
+    for (const machine of this.machines.values()) machine.courier.close();
+  }
+
+  // ---- what is wanted: changes in the state service
+
+  onShard(value: ShardValue, version: Revision): void {
+    this.syncBlock(value, version);
+    this.deps.nudge();
+  }
+
+  private syncBlock(value: ShardValue, version: Revision): void {
+    const wanted = new Set(value.machines.map((m) => m.id));
+    for (const info of value.machines) {
+      if (this.machines.has(info.id)) continue;
+      const machine: HeldMachine = new HeldMachine(info, version, this.deps.clock, this.deps.log, {
+        heard: () => {
+          this.sync(machine);
+          this.deps.nudge();
+        },
+        superseded: () => this.superseded(machine),
+      });
+      this.machines.set(info.id, machine);
+    }
+    for (const [id, machine] of this.machines) {
+      if (wanted.has(id)) continue;
+      // Whoever else takes a machine out of the block has had it deleted first: nothing is on it.
+      machine.belief.expire();
+      this.releaseAll(machine, 'machine gone');
+      this.claimFence.delete(id);
+      machine.courier.close();
+      this.machines.delete(id);
+    }
+  }
+
+  onJob(change: Change): void {
+    const id = jobId(change.key.slice(JOBS.length));
+    const run = this.jobs.get(id);
+    if (change.removed) {
+      if (run && !run.ended) this.endRun(run);
+      return;
+    }
+    const record = decodeRecord(change.value);
+    if (!record) return;
+    if (record.shard !== this.shard) {
+      if (run && !run.ended) this.endRun(run);
+      return;
+    }
+    if (run && !run.ended) {
+      run.version = change.version;
+      run.record = record;
+      run.stored = record.done;
+      return;
+    }
+    const bornField = isObject(change.value) ? change.value['born'] : undefined;
+    const born = typeof bornField === 'number' ? revision(bornField) : change.version;
+    const fresh = new JobRun(record, change.version, born, this.deps.clock.now());
+    this.jobs.set(id, fresh);
+    // Tasks of it may be listed already: this is a takeover, or the watch was late.
+    for (const machine of this.machines.values()) this.sync(machine);
+    this.deps.nudge();
+  }
+
+  private endRun(run: JobRun): void {
+    run.ended = true;
+    this.deps.nudge();
+  }
+
+  /** The user cancelled it through another node, which tells us ahead of the watch. */
+  async onCancelled(id: JobId): Promise<void> {
+    const run = this.jobs.get(id);
+    if (!run || run.ended) return;
+    const state = await this.deps.registry.look(id);
+    if (state.kind === 'ended') this.endRun(run);
+  }
+
+  private superseded(machine: HeldMachine): void {
+    this.deps.log.info({ shard: this.shard, machine: machine.id }, 'a worker has seen a higher token: another holder is at work');
+    void this.deps.state.get(shardKey(this.shard)).then((read) => {
+      if (read.kind !== 'found') return;
+      this.deps.mirror.apply({ key: read.entry.key, value: read.entry.value, removed: false, version: read.entry.version });
+    });
+  }
+
+  // ---- what is: workers' messages
+
+  onReport(message: WorkerMessage): ReportReply {
+    const machine = this.machines.get(message.machine);
+    const now = this.deps.clock.now();
+    if (!machine || this.dropped) return { status: 421, body: encodeRedirect(null) };
+    if (this.frozen || (machine.leaving?.since ?? 0) < 0) return { status: 503, body: { error: 'the shard changes hands' } };
+    const verdict = machine.belief.take(message, now);
+    if (verdict === 'superseded') {
+      this.superseded(machine);
+      return { status: 421, body: encodeRedirect(null) };
+    }
+    machine.courier.setAddress(message.address);
+    if (verdict === 'taken') {
+      machine.lost = false;
+      machine.noticeUntil = message.noticeS === null ? null : millis(now + message.noticeS * 1000);
+      this.sync(machine);
+      this.deps.nudge();
+    } else if (message.session < machine.belief.session || !machine.belief.heard) {
+      return { status: 503, body: { error: 'an old report' } };
+    }
+    machine.belief.answered(now);
+    return { status: 200, body: encodeReply(machine.belief.token, this.forgets(machine)) };
+  }
+
+  /** Exited tasks that the worker need not keep. A finished one only when that is stored. */
+  private forgets(machine: HeldMachine): Order[] {
+    const orders: Order[] = [];
+    for (const [key, listed] of machine.belief.tasks) {
+      if (listed.state !== 'exited' || machine.belief.pendingStarts.has(key)) continue;
+      const parsed = parseTaskKey(key);
+      const run = parsed ? this.jobs.get(parsed.job) : undefined;
+      const kept = listed.why === 'done' && run && !run.ended && parsed && !run.stored.has(parsed.index);
+      if (!kept) orders.push({ op: 'forget', key, attempt: listed.attempt });
+    }
+    return orders;
+  }
+
+  /** Takes in what a worker lists: progress, exits, and tasks that an earlier holder started. */
+  private sync(machine: HeldMachine): void {
+    const now = this.deps.clock.now();
+    if (machine.belief.fenced) this.claimFence.delete(machine.id);
+    for (const [key, listed] of machine.belief.tasks) {
+      const parsed = parseTaskKey(key);
+      const run = parsed ? this.jobs.get(parsed.job) : undefined;
+      if (!parsed || !run) continue;
+      const active = run.active.get(parsed.index);
+      const mine = active !== undefined && active.machine === machine.id && active.attempt === listed.attempt;
+      if (listed.state === 'exited') {
+        if (machine.seenExits.get(key) === listed.attempt) continue;
+        machine.seenExits.set(key, listed.attempt);
+        this.onExit(machine, run, parsed.index, mine ? active : undefined, listed, now);
+      } else if (mine) {
+        this.onState(machine, run, active, listed, now);
+      } else if (!active && !run.done.has(parsed.index)) {
+        // Started by an earlier holder: it is kept running.
+        const adopted: ActiveTask = {
+          index: parsed.index,
+          machine: machine.id,
+          attempt: listed.attempt,
+          orderedAt: now,
+          state: 'ordered',
+          runningAt: null,
+          stopping: null,
+        };
+        run.active.set(parsed.index, adopted);
+        this.onState(machine, run, adopted, listed, now);
+      }
+    }
+    for (const key of machine.seenExits.keys()) if (!machine.belief.tasks.has(key)) machine.seenExits.delete(key);
+    for (const key of machine.stopSentAt.keys()) if (!machine.belief.tasks.has(key)) machine.stopSentAt.delete(key);
+    for (const run of this.jobs.values()) {
+      for (const active of run.active.values()) {
+        if (active.machine === machine.id && !machine.belief.possibly(taskKey(run.id, active.index))) {
+          this.release(machine, run, active, 'not there any more');
+        }
+      }
+    }
+    if (!machine.belief.empty) machine.emptySince = now;
+  }
+
+  private onState(machine: HeldMachine, run: JobRun, active: ActiveTask, listed: ListedTask, now: Millis): void {
+    if (active.state !== listed.state) {
+      active.state = listed.state;
+      if (listed.state === 'running') {
+        active.runningAt ??= now;
+        run.startedAt ??= now;
+        machine.noteImage(run.spec.image);
+      }
+    }
+  }
+
+  private onExit(machine: HeldMachine, run: JobRun, index: number, active: ActiveTask | undefined, listed: ListedTask, now: Millis): void {
+    const { spec } = run;
+    if (listed.why === 'done' && run.markDone(index)) {
+      machine.noteImage(spec.image);
+      if (active?.runningAt != null && spec.kind === 'array') {
+        const ranS = (now - active.runningAt) / 1000;
+        const typical = median(run.finishedRunsS);
+        if (typical !== null && typical > 1 && run.finishedRunsS.length >= 3) machine.noteRun(ranS / typical);
+        run.finishedRunsS.push(ranS);
+        if (run.finishedRunsS.length > 200) run.finishedRunsS.shift();
+      }
+      this.deps.nudge();
+    }
+    if (listed.why === 'error') {
+      run.errors += 1;
+      run.errorMachines.add(machine.id);
+      run.avoid.add(machine.id);
+      if (run.failsEverywhere) {
+        run.notBefore = millis(now + Math.min(30_000, 1000 * 2 ** Math.min(5, run.errors - 3)));
+      } else machine.noteFailure(run.id, now);
+      this.deps.log.info({ job: run.id, index, machine: machine.id, faulty: machine.faulty(now) }, 'a task failed');
+    }
+    if (listed.why === 'no-room' || listed.why === 'busy') machine.coolUntil = millis(now + 1000);
+    if (listed.why === 'unknown') run.notBefore = millis(now + 1000);
+    if (active) this.release(machine, run, active, listed.why ?? 'exited');
+  }
+
+  private release(machine: HeldMachine, run: JobRun, active: ActiveTask, why: string): void {
+    run.active.delete(active.index);
+    this.deps.log.debug({ job: run.id, index: active.index, machine: machine.id, why }, 'a task is off its machine');
+    if (run.spec.kind === 'gang' && !run.done.has(active.index)) {
+      // The attempt is broken: the rest leaves by itself or is told to, then all start again.
+      for (const other of run.active.values()) if (other.state !== 'running') this.stop(run, other, 'regroup');
+    }
+    this.deps.nudge();
+  }
+
+  private releaseAll(machine: HeldMachine, why: string): void {
+    for (const run of this.jobs.values()) {
+      for (const active of [...run.active.values()]) {
+        if (active.machine === machine.id) this.release(machine, run, active, why);
+      }
+    }
+  }
+
+  private stop(run: JobRun, active: ActiveTask, reason: StopReason): void {
+    if (active.stopping) return;
+    const graceS = reason === 'cancelled' || reason === 'regroup' ? 0 : run.graceS;
+    active.stopping = { reason, since: this.deps.clock.now(), graceS };
+    this.deps.log.debug({ job: run.id, index: active.index, machine: active.machine, reason }, 'a task is to be stopped');
+  }
+
+  /** Tasks of a gang are stopped together or the saving fails. */
+  private stopWithMates(run: JobRun, active: ActiveTask, reason: StopReason): void {
+    if (run.spec.kind !== 'gang') this.stop(run, active, reason);
+    else for (const mate of run.active.values()) this.stop(run, mate, reason);
+  }
+
+  // ---- the difference
+
+  round(): void {
+    if (this.dropped || this.frozen) return;
+    const now = this.deps.clock.now();
+    this.expireLeases(now);
+    this.prune();
+    for (const run of this.jobs.values()) this.store(run, now);
+    this.heedNotices(now);
+    if (now - this.lastSpeculation >= 1000) {
+      this.lastSpeculation = now;
+      this.speculate(now);
+    }
+    const orders = new Map<MachineId, Order[]>();
+    this.collectStops(orders, now);
+    this.place(orders, now);
+    for (const [id, machine] of this.machines) this.deliver(machine, orders.get(id) ?? [], now);
+    this.letGo(now);
+  }
+
+  private expireLeases(now: Millis): void {
+    const lease = this.deps.settings.workers.leaseMs;
+    for (const machine of this.machines.values()) {
+      if (machine.lost) continue;
+      if (this.claimFence.has(machine.id) && this.proof === null) continue;
+      const at = machine.belief.expiresAt(lease);
+      // Only our own answers can have kept the worker alive, as long as nobody can have replaced us.
+      if (now < at || this.deps.heldUntil() < at) continue;
+      machine.lost = true;
+      machine.belief.expire();
+      this.claimFence.delete(machine.id);
+      this.deps.log.info({ machine: machine.id }, 'a worker is silent and its lease is over');
+      this.releaseAll(machine, 'lease over');
+    }
+  }
+
+  /** Ended jobs stay until nothing of theirs is on a machine. */
+  private prune(): void {
+    for (const [id, run] of this.jobs) {
+      if (!run.ended) continue;
+      for (const active of run.active.values()) this.stop(run, active, 'cancelled');
+      if (run.active.size === 0 && !this.anythingOf(id)) this.jobs.delete(id);
+    }
+  }
+
+  private anythingOf(id: JobId): boolean {
+    for (const machine of this.machines.values()) {
+      for (const key of machine.belief.tasks.keys()) if (parseTaskKey(key)?.job === id) return true;
+      for (const key of machine.belief.pendingStarts.keys()) if (parseTaskKey(key)?.job === id) return true;
+    }
+    return false;
+  }
+
+  private store(run: JobRun, now: Millis): void {
+    if (run.ended || run.storing || run.moving) return;
+    if (run.complete) void this.storing(run, () => this.finish(run));
+    else if (run.done.count > run.stored.count && now - run.lastStoredAt >= PROGRESS_EVERY_MS) {
+      void this.storing(run, () => this.storeProgress(run));
+    }
+  }
+
+  private async storing(run: JobRun, write: () => Promise<void>): Promise<void> {
+    run.storing = true;
+    try {
+      await write();
+    } finally {
+      run.lastStoredAt = this.deps.clock.now();
+      run.storing = false;
+    }
+  }
+
+  private async finish(run: JobRun): Promise<void> {
+    const result = await this.deps.registry.end(run.id, run.version, { phase: 'done', done: run.done.count }, 2000);
+    if (result === 'ok') {
+      run.ended = true;
+      this.deps.log.info({ job: run.id }, 'job done');
+    } else if (result === 'conflict') await this.reread(run);
+  }
+
+  private async storeProgress(run: JobRun): Promise<void> {
+    const done = Bits.decode(run.spec.tasks, run.done.encode());
+    const record = { ...run.record, done };
+    const value = { ...(encodeRecord(record) as object), born: run.born };
+    const key = jobKey(run.id);
+    const result = await this.deps.state.txn(Urgency.progress, [{ key, version: run.version }], [{ put: key, value }]);
+    if (result.kind === 'ok') {
+      this.deps.mirror.apply({ key, value, removed: false, version: result.revision });
+      run.version = result.revision;
+      run.record = record;
+      run.stored = done;
+    } else if (result.kind === 'conflict' || result.kind === 'unknown') await this.reread(run);
+  }
+
+  /** Somebody else wrote, or a write of unknown outcome was applied: what is stored decides. */
+  private async reread(run: JobRun): Promise<void> {
+    const key = jobKey(run.id);
+    const read = await this.deps.state.get(key);
+    if (read.kind === 'found') {
+      this.deps.mirror.apply({ key, value: read.entry.value, removed: false, version: read.entry.version });
+      const record = decodeRecord(read.entry.value);
+      if (record && !run.ended && record.shard === this.shard) {
+        run.version = read.entry.version;
+        run.record = record;
+        run.stored = record.done;
+      }
+    } else if (read.kind === 'absent') this.endRun(run);
+  }
+
+  private heedNotices(now: Millis): void {
+    const drained = this.deps.operator().drained;
+    for (const machine of this.machines.values()) {
+      const leftS = machine.noticeUntil === null ? null : (machine.noticeUntil - now) / 1000;
+      const drain = drained.has(machine.id);
+      if (leftS === null && !drain) continue;
+      for (const run of this.jobs.values()) {
+        for (const active of run.active.values()) {
+          if (active.machine !== machine.id || active.stopping) continue;
+          if (drain) this.stopWithMates(run, active, 'drain');
+          else if (leftS !== null && this.mustLeave(run, active, leftS, now)) this.stopWithMates(run, active, 'notice');
+        }
+      }
+    }
+  }
+
+  /** Work that can save runs until just before the end; work that cannot only if it finishes in time. */
+  private mustLeave(run: JobRun, active: ActiveTask, leftS: number, now: Millis): boolean {
+    if (run.spec.kind === 'service' || active.state !== 'running') return true;
+    if (run.spec.checkpointS > 0) return leftS < run.spec.saveS + 3;
+    const typical = median(run.finishedRunsS) ?? run.spec.estimateS;
+    return typical - (now - (active.runningAt ?? now)) / 1000 > leftS;
+  }
+
+  private speculate(now: Millis): void {
+    const t = this.deps.operator().tunables;
+    const booked: { cpu: number; memory: number }[] = [];
+    const late = new Set<string>();
+    for (const machine of this.machines.values()) {
+      const type = this.deps.types().get(machine.info.type);
+      const free = machine.free(type, this.specOf);
+      if (type && free) booked.push({ cpu: 1 - free.cpus / type.cpus, memory: 1 - free.memoryGb / type.memoryGb });
+      if (now - machine.belief.lastHeardAt > 2 * this.deps.settings.workers.reportMs) late.add(machine.id);
+    }
+    const r = resourceR(booked, t);
+    const flags: Flag[] = [];
+    const running = new Map<string, number>();
+    const wall = this.deps.clock.wall();
+    for (const run of this.jobs.values()) {
+      if (run.ended || run.spec.kind !== 'array' || run.startedAt === null) continue;
+      const started = run.startedAt;
+      const tasks = [...run.active.values()].filter((a) => a.state === 'running' && a.runningAt !== null && !a.stopping);
+      running.set(run.id, tasks.length);
+      const startedWall = wall - (now - started);
+      flags.push(
+        ...flagTasks(
+          {
+            job: run.id,
+            tasks: run.spec.tasks,
+            finished: run.done.count,
+            finishedRunsS: run.finishedRunsS,
+            estimateS: run.spec.estimateS,
+            deadlineS: run.spec.deadlineS === null ? null : run.spec.deadlineS - (startedWall - run.submittedAt) / 1000,
+            running: tasks.map((a) => ({
+              index: a.index,
+              machine: a.machine,
+              elapsedS: (now - (a.runningAt ?? now)) / 1000,
+              startedAfterS: ((a.runningAt ?? now) - started) / 1000,
+              restarted: run.restarted.has(a.index),
+            })),
+          },
+          r,
+          t,
+        ),
+      );
+    }
+    for (const flag of chooseRestarts(flags, running, late, t)) {
+      const run = this.jobs.get(jobId(flag.job));
+      const active = run?.active.get(flag.index);
+      if (!run || !active) continue;
+      run.restarted.add(flag.index);
+      run.avoid.add(active.machine);
+      this.stop(run, active, 'straggler');
+      this.deps.log.info(
+        { job: run.id, index: flag.index, machine: flag.machine, threshold: flag.threshold, estimateS: flag.estimateS },
+        'a straggler is restarted elsewhere',
+      );
+    }
+  }
+
+  private readonly specOf = (id: JobId): JobSpec | null => this.jobs.get(id)?.spec ?? null;
+
+  private collectStops(orders: Map<MachineId, Order[]>, now: Millis): void {
+    for (const machine of this.machines.values()) {
+      const list: Order[] = [];
+      for (const [key, listed] of machine.belief.tasks) {
+        if (listed.state === 'exited') continue;
+        const grace = this.graceOf(machine, key, listed, now);
+        if (grace === null) continue;
+        const sentAt = machine.stopSentAt.get(key);
+        const saving = listed.state === 'saving' && grace > 0;
+        if (saving || (sentAt !== undefined && now - sentAt < STOP_AGAIN_MS)) continue;
+        list.push({ op: 'stop', key, attempt: listed.attempt, graceS: grace });
+      }
+      if (list.length > 0) orders.set(machine.id, list);
+    }
+  }
+
+  /** How long a task may save before it is gone, or null when it may stay. */
+  private graceOf(machine: HeldMachine, key: TaskKey, listed: ListedTask, now: Millis): number | null {
+    const parsed = parseTaskKey(key);
+    const run = parsed ? this.jobs.get(parsed.job) : undefined;
+    if (!parsed || !run || run.ended || run.done.has(parsed.index)) return 0;
+    const active = run.active.get(parsed.index);
+    if (!active || active.machine !== machine.id || active.attempt !== listed.attempt) return 0;
+    if (!active.stopping) return null;
+    const { graceS, since } = active.stopping;
+    const limit = (graceS + 5) * 1000 + this.deps.settings.workers.gangPeerMs;
+    return now - since > limit ? 0 : graceS;
+  }
+
+  private usable(machine: HeldMachine, now: Millis): boolean {
+    const { belief } = machine;
+    const operator = this.deps.operator();
+    return (
+      belief.fenced &&
+      belief.heard &&
+      !machine.lost &&
+      !machine.leaving &&
+      machine.noticeUntil === null &&
+      now >= machine.coolUntil &&
+      machine.courier.ready() &&
+      now - belief.lastHeardAt < 2.5 * this.deps.settings.workers.reportMs + 500 &&
+      !machine.faulty(now) &&
+      !operator.cordoned.has(machine.id) &&
+      !operator.drained.has(machine.id)
+    );
+  }
+
+  private viewOf(machine: HeldMachine, now: Millis): MachineView | null {
+    const type = this.deps.types().get(machine.info.type);
+    const free = machine.free(type, this.specOf);
+    if (!type || !free) return null;
+    const fetching = new Set<string>();
+    const running: Stoppable[] = [];
+    for (const [key, listed] of machine.belief.tasks) {
+      if (listed.state === 'exited') continue;
+      const parsed = parseTaskKey(key);
+      const run = parsed ? this.jobs.get(parsed.job) : undefined;
+      if (!parsed || !run) continue;
+      if (listed.state === 'fetching') fetching.add(run.spec.image);
+      const active = run.active.get(parsed.index);
+      if (run.spec.kind !== 'array' && !run.ended) continue;
+      const ranS = active?.runningAt == null ? 0 : (now - active.runningAt) / 1000;
+      running.push({
+        job: run.id,
+        index: parsed.index,
+        priority: run.spec.priority,
+        cpus: run.spec.cpus,
+        gpus: run.spec.gpus,
+        memoryGb: run.spec.memoryGb,
+        lossS: run.spec.checkpointS > 0 ? run.spec.saveS : ranS,
+        stopping: run.ended || active?.stopping != null,
+      });
+    }
+    return {
+      id: machine.id,
+      type: machine.info.type,
+      zone: machine.info.zone,
+      spot: machine.info.spot,
+      cpus: type.cpus,
+      gpus: type.gpus,
+      memoryGb: type.memoryGb,
+      freeCpus: free.cpus,
+      freeGpus: free.gpus,
+      freeMemoryGb: free.memoryGb,
+      usable: this.usable(machine, now),
+      images: new Set(machine.imageList),
+      fetchGbPerS: type.fetchGbPerS,
+      fetching: fetching.size,
+      cpuPrice: (machine.info.spot ? type.spotPrice : type.price) / type.cpus,
+      suspicion: machine.suspicion(now),
+      running,
+    };
+  }
+
+  /** Seconds until the job gets late, by its deadline or its class's aim. */
+  private slackOf(run: JobRun): number {
+    const { spec } = run;
+    const sinceS = (this.deps.clock.wall() - run.submittedAt) / 1000;
+    const runS = median(run.finishedRunsS) ?? spec.estimateS;
+    if (spec.deadlineS !== null) return spec.deadlineS - sinceS - runS;
+    let within = Infinity;
+    for (const o of this.deps.settings.objectives) {
+      if (o.jobClass !== spec.jobClass || o.withinS === null) continue;
+      if (o.kind === 'wait') within = Math.min(within, o.withinS);
+      if (o.kind === 'finished') within = Math.min(within, o.withinS - runS);
+    }
+    return (Number.isFinite(within) ? within : 120) - sinceS;
+  }
+
+  /** Only teams with a limit; everything possibly there counts. */
+  private teamUse(): Map<string, TeamUse> {
+    const use = new Map<string, TeamUse>();
+    for (const [name, team] of this.deps.settings.teams) {
+      if (team.cpusMax > 0 || team.gpusMax > 0) use.set(name, { cpus: 0, gpus: 0, cpusMax: team.cpusMax, gpusMax: team.gpusMax });
+    }
+    if (use.size === 0) return use;
+    for (const machine of this.machines.values()) {
+      const keys = new Set<TaskKey>(machine.belief.pendingStarts.keys());
+      for (const [key, listed] of machine.belief.tasks) if (listed.state !== 'exited') keys.add(key);
+      for (const key of keys) {
+        const parsed = parseTaskKey(key);
+        const spec = parsed ? this.specOf(parsed.job) : null;
+        const team = spec ? use.get(spec.team) : undefined;
+        if (!spec || !team) continue;
+        team.cpus += spec.cpus;
+        team.gpus += spec.gpus;
+      }
+    }
+    return use;
+  }
+
+  private place(orders: Map<MachineId, Order[]>, now: Millis): void {
+    const teams = this.teamUse();
+    const pending: PendingJob[] = [];
+    for (const run of this.jobs.values()) {
+      if (run.ended || run.moving || run.complete || now < run.notBefore) continue;
+      // After a claim, what the earlier holder may have started is not started again before it is seen.
+      if (this.claimFence.size > 0 && (run.born <= this.claimedAt || teams.has(run.spec.team))) continue;
+      if (run.spec.kind === 'gang' && run.active.size > 0) continue;
+      const ready = run.ready(run.spec.kind === 'gang' ? run.spec.tasks : MAX_READY);
+      if (ready.length === 0) {
+        run.unplacedSince = null;
+        continue;
+      }
+      const zoneUse = new Map<string, number>();
+      const machineUse = new Map<MachineId, number>();
+      for (const active of run.active.values()) {
+        const zone = this.machines.get(active.machine)?.info.zone ?? '';
+        zoneUse.set(zone, (zoneUse.get(zone) ?? 0) + 1);
+        machineUse.set(active.machine, (machineUse.get(active.machine) ?? 0) + 1);
+      }
+      pending.push({
+        spec: run.spec,
+        ready,
+        zoneUse,
+        machineUse,
+        avoid: run.avoid,
+        slackS: this.slackOf(run),
+        waitedS: (now - run.seenAt) / 1000,
+      });
+    }
+    const views = [...this.machines.values()].map((m) => this.viewOf(m, now)).filter((v): v is MachineView => v !== null);
+    const plan = planPlacement({ machines: views, pending, teams, maxStarts: 200 });
+    for (const stop of plan.stops) {
+      const run = this.jobs.get(stop.job);
+      const active = run?.active.get(stop.index);
+      if (!run || !active || active.stopping) continue;
+      this.deps.log.info({ job: stop.job, index: stop.index, machine: stop.machine, for: stop.forJob }, 'preempting a task');
+      this.stop(run, active, 'preempted');
+    }
+    const gangAttempts = new Map<JobId, Attempt>();
+    for (const start of plan.starts) {
+      const run = this.jobs.get(start.job);
+      const key = taskKey(start.job, start.index);
+      if (!run || this.possiblyAnywhere(key)) continue;
+      let number = run.spec.kind === 'gang' ? gangAttempts.get(start.job) : undefined;
+      if (number === undefined) {
+        this.attempts += 1;
+        // Grows across holders without a write: the claim's revision is part of it.
+        number = attempt(this.claimedAt * 2 ** 20 + this.attempts);
+        gangAttempts.set(start.job, number);
+      }
+      run.active.set(start.index, {
+        index: start.index,
+        machine: start.machine,
+        attempt: number,
+        orderedAt: now,
+        state: 'ordered',
+        runningAt: null,
+        stopping: null,
+      });
+      const list = orders.get(start.machine) ?? [];
+      list.push({ op: 'start', key, attempt: number });
+      orders.set(start.machine, list);
+    }
+    this.noteDemand(plan.unplaced, now);
+  }
+
+  /** A task may be started only if it is possibly nowhere. */
+  private possiblyAnywhere(key: TaskKey): boolean {
+    for (const machine of this.machines.values()) if (machine.belief.possibly(key)) return true;
+    return false;
+  }
+
+  private noteDemand(unplaced: readonly { readonly job: JobId; readonly count: number }[], now: Millis): void {
+    const waiting = new Set(unplaced.map((u) => u.job));
+    for (const run of this.jobs.values()) if (!waiting.has(run.id)) run.unplacedSince = null;
+    this.demand = [];
+    for (const { job, count } of unplaced) {
+      const run = this.jobs.get(job);
+      if (!run) continue;
+      run.unplacedSince ??= now;
+      // A moment's wait is a command on its way, not a lack of machines.
+      if (now - run.unplacedSince < 150) continue;
+      const missing = run.spec.kind === 'gang' ? count : Math.max(count, run.missing);
+      this.demand.push({
+        job,
+        missing,
+        running: run.runningCount,
+        slackS: this.slackOf(run),
+        estimateS: median(run.finishedRunsS) ?? run.spec.estimateS,
+      });
+      if (now - run.unplacedSince > MOVE_AFTER_MS) this.moveElsewhere(run, count);
+    }
+  }
+
+  /** A job with nothing possibly there may change shards, to where it can start. */
+  private moveElsewhere(run: JobRun, count: number): void {
+    if (run.active.size > 0 || run.storing || run.moving || this.claimFence.size > 0 || this.anythingOf(run.id)) return;
+    const to = this.deps.roomElsewhere(run.spec, count);
+    if (to === null || to === this.shard) return;
+    run.moving = true;
+    const key = jobKey(run.id);
+    const done = Bits.decode(run.spec.tasks, run.done.encode());
+    const value = { ...(encodeRecord({ ...run.record, done, shard: to }) as object), born: run.born };
+    void this.deps.state
+      .txn(Urgency.shard, [{ key, version: run.version }], [{ put: key, value }])
+      .then(async (result) => {
+        if (result.kind === 'ok') {
+          this.deps.log.info({ job: run.id, from: this.shard, to }, 'a waiting job moves to a shard with room');
+          this.deps.mirror.apply({ key, value, removed: false, version: result.revision });
+        } else await this.reread(run);
+      })
+      .finally(() => {
+        run.moving = false;
+      });
+  }
+
+  private deliver(machine: HeldMachine, orders: Order[], now: Millis): void {
+    const { belief, courier } = machine;
+    const silent = now - belief.lastHeardAt > 2 * this.deps.settings.workers.reportMs;
+    if (orders.length === 0 && belief.fenced && !(silent && !machine.lost)) return;
+    if (!courier.ready()) return;
+    for (const order of orders) {
+      if (order.op === 'start') belief.noteStart(order.key, order.attempt);
+      else machine.stopSentAt.set(order.key, now);
+    }
+    if (orders.some((o) => o.op === 'start')) machine.emptySince = now;
+    void courier.send(orders);
+  }
+
+  // ---- machines that leave, and the shard's own leaving
+
+  /** The leader wants this machine elsewhere, or back; it leaves once it is empty. */
+  transfer(id: MachineId, to: ShardName | null): void {
+    const machine = this.machines.get(id);
+    if (!machine || machine.leaving) return;
+    machine.leaving = { to, since: this.deps.clock.now() };
+    this.deps.nudge();
+  }
+
+  private letGo(now: Millis): void {
+    for (const machine of this.machines.values()) {
+      const { leaving } = machine;
+      if (!leaving || leaving.since < 0) continue;
+      if (now - leaving.since > LEAVE_WITHIN_MS) {
+        machine.leaving = null;
+        continue;
+      }
+      const { belief } = machine;
+      // Only empty, with nothing possibly there, and with nothing that we still have to store.
+      if (!belief.fenced || !belief.empty || belief.tasks.size > 0 || !machine.courier.idle) continue;
+      void this.moveMachine(machine, leaving.to as ShardName | null);
+    }
+  }
+
+  private async moveMachine(machine: HeldMachine, to: ShardName | null): Promise<void> {
+    const { mirror, state, log } = this.deps;
+    const own = mirror.get(shardKey(this.shard));
+    const value = own ? decodeShard(own.value) : null;
+    if (!own || !value || value.holder !== this.deps.self) return;
+    const info = { ...machine.info, address: machine.courier.knownAddress };
+    // From here on its reports are not answered: whoever has it next counts its lease from the write.
+    machine.leaving = { to, since: millis(-1) };
+    const guards = [{ key: shardKey(this.shard), version: own.version as number }];
+    const mine = encodeShard({ ...value, machines: value.machines.filter((m) => m.id !== machine.id) });
+    const ops = [{ put: shardKey(this.shard), value: mine }];
+    if (to !== null) {
+      const target = mirror.get(shardKey(to));
+      const theirs = target ? decodeShard(target.value) : null;
+      if (!target || !theirs) {
+        machine.leaving = null;
+        return;
+      }
+      guards.push({ key: shardKey(to), version: target.version });
+      ops.push({ put: shardKey(to), value: encodeShard({ ...theirs, machines: [...theirs.machines, info] }) });
+    }
+    const result = await state.txn(Urgency.shard, guards, ops);
+    if (result.kind === 'ok') {
+      log.info({ machine: machine.id, from: this.shard, to }, 'a machine leaves the block');
+      for (const op of ops) mirror.apply({ key: op.put, value: op.value, removed: false, version: result.revision });
+      return;
+    }
+    // An unknown write may still be applied: the machine takes nothing new until that is settled.
+    if (result.kind === 'unknown') await settleShard(this.shard, state, mirror, () => !this.dropped);
+    machine.leaving = null;
+  }
+
+  /** Gives the shard back to its own node: only when everything in it is known and quiet. */
+  async handBack(): Promise<boolean> {
+    const now = this.deps.clock.now();
+    if (this.frozen || !this.fenced) return false;
+    for (const machine of this.machines.values()) {
+      if (!machine.belief.fenced || !machine.courier.idle || machine.belief.pendingStarts.size > 0) return false;
+      if (machine.leaving || now - machine.belief.lastHeardAt > 2 * this.deps.settings.workers.reportMs) return false;
+    }
+    for (const run of this.jobs.values()) if (run.storing || run.moving) return false;
+    const own = this.deps.mirror.get(shardKey(this.shard));
+    const value = own ? decodeShard(own.value) : null;
+    if (!own || !value || value.holder !== this.deps.self) return false;
+    this.frozen = true;
+    const next = encodeShard({ ...value, released: true });
+    const result = await this.deps.state.txn(
+      Urgency.shard,
+      [{ key: shardKey(this.shard), version: own.version }],
+      [{ put: shardKey(this.shard), value: next }],
+    );
+    if (result.kind === 'ok') {
+      this.deps.log.info({ shard: this.shard }, 'handing a shard back to its own node');
+      this.deps.mirror.apply({ key: shardKey(this.shard), value: next, removed: false, version: result.revision });
+      return true;
+    }
+    if (result.kind === 'unknown') await settleShard(this.shard, this.deps.state, this.deps.mirror, () => !this.dropped);
+    if (!this.dropped) this.frozen = false;
+    return false;
+  }
+
+  // ---- what others are told
+
+  runningOf(id: JobId): { running: number; done: number } | null {
+    const run = this.jobs.get(id);
+    return run && !run.ended ? { running: run.runningCount, done: run.done.count } : null;
+  }
+
+  summary(): ShardSummary {
+    const now = this.deps.clock.now();
+    const machines: MachineSummary[] = [];
+    let heardLately = 0;
+    for (const machine of this.machines.values()) {
+      if (now - machine.belief.lastHeardAt < 2.5 * this.deps.settings.workers.reportMs) heardLately += 1;
+    }
+    for (const machine of this.machines.values()) {
+      const view = this.viewOf(machine, now);
+      const silentMs = now - machine.belief.lastHeardAt;
+      // Silent for reports and for commands while others of the block are heard: not our own network.
+      const dead =
+        machine.courier.failures >= 2 &&
+        silentMs > 2.5 * this.deps.settings.workers.reportMs + 2500 &&
+        heardLately * 2 > this.machines.size;
+      const cooling = !machine.courier.idle || now < machine.coolUntil;
+      machines.push({
+        id: machine.id,
+        type: machine.info.type,
+        zone: machine.info.zone,
+        spot: machine.info.spot,
+        freeCpus: view?.freeCpus ?? 0,
+        freeGpus: view?.freeGpus ?? 0,
+        freeMemoryGb: view?.freeMemoryGb ?? 0,
+        idleMs: machine.belief.empty ? now - machine.emptySince : 0,
+        empty: machine.belief.empty,
+        usable: view !== null && (view.usable || (cooling && machine.belief.fenced && !machine.leaving && machine.noticeUntil === null)),
+        lost: machine.lost || dead,
+        faulty: machine.faulty(now),
+        images: machine.imageList,
+      });
+    }
+    const running = [...this.jobs.values()]
+      .filter((run) => !run.ended)
+      .map((run) => ({ job: run.id, running: run.runningCount, done: run.done.count }));
+    return { shard: this.shard, holder: this.deps.self, machines, demand: this.demand, running };
+  }
+}
--- /dev/null
+++ b/src/holder/index.ts
@@ -0,0 +1,1 @@
+export * from './holder.js';
--- /dev/null
+++ b/src/holder/machine.ts
@@ -0,0 +1,106 @@
+import type { MachineType } from '../cloud/index.js';
+import type { JobSpec } from '../jobs/index.js';
+import { parseTaskKey, type Clock, type JobId, type Logger, type MachineId, type Millis, type Revision, type TaskKey } from '../kernel/index.js';
+import type { BlockMachine } from '../membership/index.js';
+import { Courier, MachineBelief, type CourierHooks } from '../workers/index.js';
+
+interface Failure {
+  readonly job: JobId;
+  readonly at: Millis;
+}
+
+const FAILURE_MEMORY_MS = 180_000;
+
+/** One machine of the block, as its holder sees it. */
+export class HeldMachine {
+  readonly belief: MachineBelief;
+  readonly courier: Courier;
+  /** Exits that have been taken in, until the worker no longer lists them. */
+  readonly seenExits = new Map<TaskKey, number>();
+  readonly stopSentAt = new Map<TaskKey, Millis>();
+  private images: string[] = [];
+  private readonly failures: Failure[] = [];
+  private slowness = 1;
+  private runs = 0;
+  noticeUntil: Millis | null = null;
+  coolUntil: Millis;
+  emptySince: Millis;
+  /** The lease is over and the worker has not come back. */
+  lost = false;
+  /** Asked to leave the block: no new tasks. */
+  leaving: { readonly to: string | null; readonly since: Millis } | null = null;
+
+  constructor(
+    readonly info: BlockMachine,
+    base: Revision,
+    clock: Clock,
+    log: Logger,
+    hooks: CourierHooks,
+  ) {
+    const now = clock.now();
+    this.belief = new MachineBelief(base, now);
+    this.courier = new Courier(info.id, this.belief, clock, log, hooks);
+    this.courier.setAddress(info.address);
+    this.coolUntil = now;
+    this.emptySince = now;
+  }
+
+  get id(): MachineId {
+    return this.info.id;
+  }
+
+  noteImage(image: string): void {
+    if (image === '') return;
+    this.images = [image, ...this.images.filter((known) => known !== image)].slice(0, 8);
+  }
+
+  get imageList(): readonly string[] {
+    return this.images;
+  }
+
+  noteFailure(job: JobId, now: Millis): void {
+    this.failures.push({ job, at: now });
+    if (this.failures.length > 50) this.failures.shift();
+  }
+
+  /** A completed task's run time against its siblings'. */
+  noteRun(ratio: number): void {
+    this.runs += 1;
+    this.slowness += (ratio - this.slowness) / Math.min(this.runs + 1, 5);
+    if (ratio < 1.5) this.failures.shift();
+  }
+
+  suspicion(now: Millis): number {
+    const recent = this.failures.filter((f) => now - f.at < FAILURE_MEMORY_MS).length;
+    return recent + (this.runs >= 3 && this.slowness > 1.5 ? 1 : 0);
+  }
+
+  /** Fails the tasks of several jobs, or keeps failing, or is slow beyond doubt. */
+  faulty(now: Millis): boolean {
+    const recent = this.failures.filter((f) => now - f.at < FAILURE_MEMORY_MS);
+    return recent.length >= 3 || new Set(recent.map((f) => f.job)).size >= 2 || (this.runs >= 4 && this.slowness > 2);
+  }
+
+  /** What is free; null for machines whose type is not known or that hold tasks of unknown size. */
+  free(type: MachineType | undefined, specOf: (id: JobId) => JobSpec | null): { cpus: number; gpus: number; memoryGb: number } | null {
+    if (!type) return null;
+    let { cpus, gpus, memoryGb } = type;
+    const subtract = (key: TaskKey): boolean => {
+      const parsed = parseTaskKey(key);
+      const spec = parsed ? specOf(parsed.job) : null;
+      if (!spec) return false;
+      cpus -= spec.cpus;
+      gpus -= spec.gpus;
+      memoryGb -= spec.memoryGb;
+      return true;
+    };
+    for (const [key, listed] of this.belief.tasks) {
+      if (listed.state !== 'exited' && !subtract(key)) return null;
+    }
+    for (const key of this.belief.pendingStarts.keys()) {
+      const listed = this.belief.tasks.get(key);
+      if ((!listed || listed.state === 'exited') && !subtract(key)) return null;
+    }
+    return { cpus, gpus, memoryGb };
+  }
+}
--- /dev/null
+++ b/src/holder/run.ts
@@ -0,0 +1,108 @@
+import { Bits, type Attempt, type JobId, type MachineId, type Millis, type Revision, type WallMillis } from '../kernel/index.js';
+import type { JobRecord, JobSpec } from '../jobs/index.js';
+import type { TaskState } from '../workers/index.js';
+
+export type StopReason = 'cancelled' | 'preempted' | 'notice' | 'drain' | 'straggler' | 'regroup';
+
+/** One task that is possibly on a machine. */
+export interface ActiveTask {
+  readonly index: number;
+  readonly machine: MachineId;
+  readonly attempt: Attempt;
+  readonly orderedAt: Millis;
+  state: TaskState | 'ordered';
+  runningAt: Millis | null;
+  stopping: { readonly reason: StopReason; readonly since: Millis; readonly graceS: number } | null;
+}
+
+/** An open job as its holder runs it. */
+export class JobRun {
+  readonly active = new Map<number, ActiveTask>();
+  readonly done: Bits;
+  /** What the state service knows to be done. */
+  stored: Bits;
+  /** Over for its user: whatever is still on a machine is stopped. */
+  ended = false;
+  storing = false;
+  lastStoredAt: Millis;
+  startedAt: Millis | null = null;
+  readonly errorMachines = new Set<MachineId>();
+  errors = 0;
+  notBefore: Millis;
+  readonly restarted = new Set<number>();
+  readonly finishedRunsS: number[] = [];
+  readonly avoid = new Set<MachineId>();
+  unplacedSince: Millis | null = null;
+  moving = false;
+  private cursor = 0;
+
+  constructor(
+    public record: JobRecord,
+    public version: Revision,
+    readonly born: Revision,
+    readonly seenAt: Millis,
+  ) {
+    this.done = Bits.decode(record.spec.tasks, record.done.encode());
+    this.stored = record.done;
+    this.lastStoredAt = seenAt;
+    this.notBefore = seenAt;
+  }
+
+  get id(): JobId {
+    return this.record.spec.id;
+  }
+
+  get spec(): JobSpec {
+    return this.record.spec;
+  }
+
+  get submittedAt(): WallMillis {
+    return this.record.submittedAt;
+  }
+
+  get complete(): boolean {
+    return this.spec.kind !== 'service' && this.done.count >= this.spec.tasks;
+  }
+
+  get runningCount(): number {
+    let running = 0;
+    for (const task of this.active.values()) if (task.state === 'running') running += 1;
+    return running;
+  }
+
+  /** A job that fails on several machines and has never finished a task is itself at fault. */
+  get failsEverywhere(): boolean {
+    return this.errorMachines.size >= 3 && this.done.count === 0;
+  }
+
+  /** The lowest tasks that are neither done nor possibly anywhere. */
+  ready(most: number): number[] {
+    const { tasks } = this.spec;
+    while (this.cursor < tasks && this.done.has(this.cursor)) this.cursor += 1;
+    const ready: number[] = [];
+    for (let index = this.cursor; index < tasks && ready.length < most; index++) {
+      if (!this.done.has(index) && !this.active.has(index)) ready.push(index);
+    }
+    return ready;
+  }
+
+  get missing(): number {
+    return this.spec.tasks - this.done.count - this.active.size;
+  }
+
+  markDone(index: number): boolean {
+    if (this.spec.kind === 'service') return false;
+    if (this.spec.kind === 'gang') {
+      // A gang completes together.
+      let changed = false;
+      for (let i = 0; i < this.spec.tasks; i++) changed = this.done.add(i) || changed;
+      return changed;
+    }
+    return this.done.add(index);
+  }
+
+  /** A gang's stop is orderly only when it saves and has time to. */
+  get graceS(): number {
+    return this.spec.checkpointS > 0 ? this.spec.saveS + 1 : 0;
+  }
+}
--- /dev/null
+++ b/src/jobs/index.ts
@@ -0,0 +1,4 @@
+export * from './admission.js';
+export * from './model.js';
+export * from './registry.js';
+export { encodeView, parseJobId, parseSubmission } from './wire.js';
--- /dev/null
+++ b/src/jobs/model.ts
@@ -0,0 +1,96 @@
+import { Bits, isObject, type JobId, type ShardName, shardName, type WallMillis, wallMillis } from '../kernel/index.js';
+
+export type JobKind = 'array' | 'gang' | 'service';
+
+/** Higher goes first. */
+export const Priority = { low: 0, normal: 1, high: 2, production: 3 } as const;
+export type Priority = (typeof Priority)[keyof typeof Priority];
+
+export interface Need {
+  readonly cpus: number;
+  readonly gpus: number;
+  readonly memoryGb: number;
+}
+
+export interface JobSpec extends Need {
+  readonly id: JobId;
+  readonly jobClass: string;
+  readonly team: string;
+  readonly kind: JobKind;
+  readonly priority: Priority;
+  readonly tasks: number;
+  readonly types: readonly string[] | null;
+  readonly zone: string | null;
+  /** All tasks in one zone. */
+  readonly oneZone: boolean;
+  /** At most half of the tasks, rounded up, in one zone. */
+  readonly spread: boolean;
+  readonly spot: boolean;
+  readonly image: string;
+  readonly imageGb: number;
+  readonly estimateS: number;
+  readonly checkpointS: number;
+  readonly saveS: number;
+  readonly deadlineS: number | null;
+}
+
+/** An open job, as it is stored. */
+export interface JobRecord {
+  readonly spec: JobSpec;
+  readonly shard: ShardName;
+  readonly submittedAt: WallMillis;
+  readonly done: Bits;
+}
+
+export type FinalPhase = 'done' | 'cancelled';
+
+export interface JobFinal {
+  readonly phase: FinalPhase;
+  readonly done: number;
+}
+
+export type Phase = 'queued' | 'running' | FinalPhase;
+
+export interface JobView {
+  readonly id: JobId;
+  readonly phase: Phase;
+  readonly done: number;
+  readonly running: number;
+}
+
+export function encodeRecord(record: JobRecord): unknown {
+  return {
+    spec: record.spec,
+    shard: record.shard,
+    submittedAt: record.submittedAt,
+    done: record.done.encode(),
+  };
+}
+
+/** Reads what we stored ourselves; null when it is not of that form. */
+export function decodeRecord(value: unknown): JobRecord | null {
+  if (!isObject(value) || !isObject(value['spec'])) return null;
+  const spec = value['spec'] as unknown as JobSpec;
+  const shard = value['shard'];
+  const submittedAt = value['submittedAt'];
+  const done = value['done'];
+  if (typeof spec.id !== 'string' || typeof spec.tasks !== 'number') return null;
+  if (typeof shard !== 'string' || typeof submittedAt !== 'number' || typeof done !== 'string') return null;
+  return {
+    spec,
+    shard: shardName(shard),
+    submittedAt: wallMillis(submittedAt),
+    done: Bits.decode(spec.tasks, done),
+  };
+}
+
+export function decodeFinal(value: unknown): JobFinal | null {
+  if (!isObject(value)) return null;
+  const phase = value['phase'];
+  const done = value['done'];
+  if ((phase !== 'done' && phase !== 'cancelled') || typeof done !== 'number') return null;
+  return { phase, done };
+}
+
+/** How many of a job's tasks may be in one zone. */
+export const zoneLimit = (spec: JobSpec): number => (spec.spread ? Math.ceil(spec.tasks / 2) : spec.tasks);
--- /dev/null
+++ b/src/jobs/registry.ts
@@ -0,0 +1,176 @@
+import type { MachineType } from '../cloud/index.js';
+import type { TeamFacts } from '../config/index.js';
+import { Bits, type Clock, type JobId, type Logger, type Revision, type ShardName } from '../kernel/index.js';
+import { finalKey, jobKey, Urgency, type Mirror, type StateClient } from '../state/index.js';
+import { whyNever } from './admission.js';
+import { decodeFinal, decodeRecord, encodeRecord, type JobFinal, type JobRecord, type JobSpec, type JobView } from './model.js';
+
+/** The outcome of a user's request, before it is put in the users' words. */
+export type Outcome =
+  | { readonly kind: 'created'; readonly view: JobView }
+  | { readonly kind: 'known'; readonly view: JobView }
+  | { readonly kind: 'never'; readonly reason: string }
+  | { readonly kind: 'absent' }
+  /** No answer is possible now; the user is told at once when to come back. */
+  | { readonly kind: 'later'; readonly reason: string };
+
+export type JobState =
+  | { readonly kind: 'open'; readonly record: JobRecord; readonly version: Revision }
+  | { readonly kind: 'ended'; readonly final: JobFinal }
+  | { readonly kind: 'absent' }
+  | { readonly kind: 'unavailable' };
+
+export interface RegistryHooks {
+  /** Machine types, or null as long as they are unknown. */
+  types(): readonly MachineType[] | null;
+  chooseShard(spec: JobSpec): ShardName | null;
+  running(id: JobId): { running: number; done: number };
+  cancelled(id: JobId): void;
+}
+
+const later = (reason: string): Outcome => ({ kind: 'later', reason });
+const MAX_FINALS = 20_000;
+
+/** Submissions, queries and cancellations: what is stored decides, and only a stored job is accepted. */
+export class JobRegistry {
+  /** Finals never change, so they may be kept. */
+  private readonly finals = new Map<JobId, JobFinal>();
+
+  constructor(
+    private readonly state: StateClient,
+    private readonly mirror: Mirror,
+    private readonly teams: ReadonlyMap<string, TeamFacts>,
+    private readonly hooks: RegistryHooks,
+    private readonly clock: Clock,
+    private readonly log: Logger,
+  ) {}
+
+  /** The present state of a job, read afresh; an ended job is in `finals` before it leaves `jobs`. */
+  async look(id: JobId): Promise<JobState> {
+    const cached = this.finals.get(id);
+    if (cached) return { kind: 'ended', final: cached };
+    const open = await this.state.get(jobKey(id));
+    if (open.kind === 'unavailable') return { kind: 'unavailable' };
+    if (open.kind === 'found') {
+      const record = decodeRecord(open.entry.value);
+      if (!record) return { kind: 'unavailable' };
+      return { kind: 'open', record, version: open.entry.version };
+    }
+    const ended = await this.state.get(finalKey(id));
+    if (ended.kind === 'unavailable') return { kind: 'unavailable' };
+    if (ended.kind === 'absent') {
+      // Accepted between the two reads: it is not absent, we were too early.
+      return this.mirror.get(jobKey(id)) ? { kind: 'unavailable' } : { kind: 'absent' };
+    }
+    const final = decodeFinal(ended.entry.value);
+    if (!final) return { kind: 'unavailable' };
+    this.remember(id, final);
+    return { kind: 'ended', final };
+  }
+
+  remember(id: JobId, final: JobFinal): void {
+    if (this.finals.size >= MAX_FINALS) {
+      const oldest = this.finals.keys().next();
+      if (!oldest.done) this.finals.delete(oldest.value);
+    }
+    this.finals.set(id, final);
+  }
+
+  async submit(spec: JobSpec): Promise<Outcome> {
+    const types = this.hooks.types();
+    const never = types === null ? null : whyNever(spec, this.teams, types);
+    if (types === null || never !== null) {
+      // A job accepted earlier stays accepted, whatever the settings or types say now.
+      const known = await this.known(spec.id);
+      if (known.kind === 'known' || known.kind === 'later') return known;
+      return never === null ? later('machine types are not known yet') : { kind: 'never', reason: never };
+    }
+    const shard = this.hooks.chooseShard(spec);
+    if (!shard) {
+      const known = await this.known(spec.id);
+      return known.kind === 'absent' ? later('no shard is held yet') : known;
+    }
+    const record: JobRecord = { spec, shard, submittedAt: this.clock.wall(), done: new Bits(spec.tasks) };
+    const value = encodeRecord(record);
+    const result = await this.state.txn(
+      Urgency.accept,
+      [
+        { key: jobKey(spec.id), version: 0 },
+        { key: finalKey(spec.id), version: 0 },
+      ],
+      [{ put: jobKey(spec.id), value }],
+      1500,
+    );
+    if (result.kind === 'ok') {
+      this.mirror.apply({ key: jobKey(spec.id), value, removed: false, version: result.revision });
+      return { kind: 'created', view: { id: spec.id, phase: 'queued', done: 0, running: 0 } };
+    }
+    if (result.kind === 'conflict' || result.kind === 'unknown') {
+      const known = await this.known(spec.id);
+      // An unknown write may still be applied later: the user asks again and is then told so.
+      return known.kind === 'absent' ? later('the outcome of the write is not known') : known;
+    }
+    return later('the state service takes no writes');
+  }
+
+  private async known(id: JobId): Promise<Outcome> {
+    return this.query(id);
+  }
+
+  async query(id: JobId): Promise<Outcome> {
+    const state = await this.look(id);
+    switch (state.kind) {
+      case 'unavailable':
+        return later('the state service cannot be read');
+      case 'absent':
+        return { kind: 'absent' };
+      case 'ended':
+        return { kind: 'known', view: { id, phase: state.final.phase, done: state.final.done, running: 0 } };
+      case 'open': {
+        const seen = this.hooks.running(id);
+        const done = Math.min(state.record.spec.tasks, Math.max(seen.done, state.record.done.count));
+        return {
+          kind: 'known',
+          view: { id, phase: seen.running > 0 || done > 0 ? 'running' : 'queued', done, running: seen.running },
+        };
+      }
+    }
+  }
+
+  async cancel(id: JobId): Promise<Outcome> {
+    for (let tries = 0; tries < 4; tries++) {
+      const state = await this.look(id);
+      if (state.kind === 'unavailable') return later('the state service cannot be read');
+      if (state.kind === 'absent') return { kind: 'absent' };
+      if (state.kind === 'ended') return this.query(id);
+      const done = Math.max(state.record.done.count, this.hooks.running(id).done);
+      const ended = await this.end(id, state.version, { phase: 'cancelled', done }, 1200);
+      if (ended === 'ok') {
+        this.log.info({ job: id }, 'job cancelled by its user');
+        this.hooks.cancelled(id);
+        return this.query(id);
+      }
+      if (ended === 'later') return later('the state service takes no writes');
+    }
+    return later('the job is changing too fast');
+  }
+
+  /** Ends a job in one transaction, so that it is always in exactly one of the two places. */
+  async end(id: JobId, version: Revision, final: JobFinal, waitMs: number): Promise<'ok' | 'conflict' | 'later'> {
+    const result = await this.state.txn(
+      Urgency.final,
+      [
+        { key: jobKey(id), version },
+        { key: finalKey(id), version: 0 },
+      ],
+      [{ remove: jobKey(id) }, { put: finalKey(id), value: final }],
+      waitMs,
+    );
+    if (result.kind === 'ok') {
+      this.remember(id, final);
+      this.mirror.apply({ key: jobKey(id), value: undefined, removed: true, version: result.revision });
+      return 'ok';
+    }
+    return result.kind === 'conflict' || result.kind === 'unknown' ? 'conflict' : 'later';
+  }
+}
--- /dev/null
+++ b/src/leasing/index.ts
@@ -0,0 +1,3 @@
+export * from './leader.js';
+export * from './plan.js';
+export * from './routing.js';
--- /dev/null
+++ b/src/leasing/leader.ts
@@ -0,0 +1,323 @@
+import type { CloudClient, MachineType, Rental } from '../cloud/index.js';
+import { decodeRecord, type JobSpec } from '../jobs/index.js';
+import { millis, type Clock, type JobId, type Logger, type MachineId, type Millis, type NodeName, type Revision, type ShardName } from '../kernel/index.js';
+import { decodeShard, encodeShard, settleShard, type BlockMachine, type ShardValue } from '../membership/index.js';
+import type { PeerMessage, ShardSummary } from '../peers/index.js';
+import { jobKey, JOBS, LEADER, shardKey, SHARDS, Urgency, type Mirror, type StateClient } from '../state/index.js';
+import type { WorkerMessage } from '../workers/index.js';
+import { kindKey, planLeases, type LooseMachine } from './plan.js';
+
+export interface LeaderDeps {
+  readonly self: NodeName;
+  readonly state: StateClient;
+  readonly mirror: Mirror;
+  readonly cloud: CloudClient;
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly listLagMs: number;
+  leading(): Revision | null;
+  summaries(): readonly ShardSummary[];
+  types(): ReadonlyMap<string, MachineType>;
+  tell(holder: NodeName, message: PeerMessage): void;
+}
+
+interface Known {
+  readonly id: MachineId;
+  type: string;
+  zone: string;
+  spot: boolean;
+  rentedAt: Millis;
+  /** When its worker last reported without being in a block. */
+  reportedAt: Millis | null;
+  address: string;
+  listedAt: Millis | null;
+  phase: Rental['phase'];
+  doomed: boolean;
+}
+
+const LIST_EVERY_MS = 2500;
+const REFUSED_MS = 15_000;
+const IDLE_RETURN_S = 25;
+const TRANSFER_PAUSE_MS = 3000;
+
+/** The leader's duties: machine blocks, fleet size, price. Losing the leader costs only these. */
+export class Leader {
+  private readonly known = new Map<MachineId, Known>();
+  private readonly refused = new Map<string, Millis>();
+  private readonly asked = new Map<MachineId, Millis>();
+  private readonly releasing = new Map<MachineId, Millis>();
+  private term: Revision | null = null;
+  private listAt = millis(-1e9);
+  private requests = 0;
+  private startedAt: Millis;
+  private listing = false;
+  private renting = false;
+
+  constructor(private readonly deps: LeaderDeps) {
+    this.startedAt = deps.clock.now();
+  }
+
+  /** A worker that is in no block reports: it is up and may be leased. */
+  noteUp(message: WorkerMessage): void {
+    const now = this.deps.clock.now();
+    const known = this.learn(message.machine, message.type, message.zone, message.spot, now);
+    known.reportedAt = now;
+    known.address = message.address;
+  }
+
+  private learn(id: MachineId, type: string, zone: string, spot: boolean, rentedAt: Millis): Known {
+    let known = this.known.get(id);
+    if (!known) {
+      known = { id, type, zone, spot, rentedAt, reportedAt: null, address: '', listedAt: null, phase: 'booting', doomed: false };
+      this.known.set(id, known);
+    }
+    return known;
+  }
+
+  private shards(): Map<ShardName, { value: ShardValue; version: Revision }> {
+    const shards = new Map<ShardName, { value: ShardValue; version: Revision }>();
+    for (const entry of this.deps.mirror.under(SHARDS)) {
+      const value = decodeShard(entry.value);
+      if (value) shards.set(entry.key.slice(SHARDS.length) as ShardName, { value, version: entry.version });
+    }
+    return shards;
+  }
+
+  async round(): Promise<void> {
+    const term = this.deps.leading();
+    if (term === null) {
+      this.term = null;
+      return;
+    }
+    const now = this.deps.clock.now();
+    if (term !== this.term) {
+      this.term = term;
+      this.known.clear();
+      this.startedAt = now;
+      this.listAt = millis(-1e9);
+    }
+    if (now - this.listAt > LIST_EVERY_MS && !this.listing && this.deps.cloud.mayCall()) void this.list(now);
+    const shards = this.shards();
+    const placed = new Map<MachineId, ShardName>();
+    for (const [name, { value }] of shards) for (const m of value.machines) placed.set(m.id, name);
+    const summaries = this.deps.summaries().filter((s) => shards.get(s.shard)?.value.holder === s.holder);
+    await this.removeLost(summaries, placed, now);
+    await this.returnLoose(placed, now);
+    if (this.deps.types().size === 0) return;
+
+    const loose: LooseMachine[] = [];
+    for (const known of this.known.values()) {
+      if (placed.has(known.id) || known.doomed || known.phase === 'failed' || this.releasing.has(known.id)) continue;
+      const up = known.reportedAt !== null && now - known.reportedAt < 10_000;
+      loose.push({ ...known, up, ageS: (now - known.rentedAt) / 1000 });
+    }
+    for (const [key, at] of this.refused) if (now - at > REFUSED_MS) this.refused.delete(key);
+    const plan = planLeases({
+      shards: summaries,
+      loose,
+      types: this.deps.types(),
+      specOf: this.specOf,
+      refused: new Set(this.refused.keys()),
+      headroom: this.headroom(),
+      idleReturnS: IDLE_RETURN_S,
+      ageOf: (id) => {
+        const known = this.known.get(id);
+        return known ? (now - known.rentedAt) / 1000 : 0;
+      },
+    });
+    await this.grant(plan.grants, term);
+    for (const { machine, from, to } of plan.transfers) this.ask(machine, from, to, shards, now);
+    for (const { machine, from } of plan.releases) {
+      this.deps.log.info({ machine, from }, 'giving an idle machine back');
+      this.releasing.set(machine, now);
+      this.ask(machine, from, null, shards, now);
+    }
+    // A new leader first lists what there is: renting twice costs money.
+    const settled = [...this.known.values()].some((k) => k.listedAt !== null) || now - this.startedAt > 10_000;
+    if (settled && plan.rents.length > 0) void this.rent(plan.rents, term);
+  }
+
+  private readonly specOf = (id: JobId): JobSpec | null => {
+    const entry = this.deps.mirror.get(jobKey(id));
+    return entry ? (decodeRecord(entry.value)?.spec ?? null) : null;
+  };
+
+  /** Of each class of services, its largest open job: as much must find room at once. */
+  private headroom(): JobSpec[] {
+    const largest = new Map<string, JobSpec>();
+    for (const entry of this.deps.mirror.under(JOBS)) {
+      const spec = decodeRecord(entry.value)?.spec;
+      if (!spec || spec.kind !== 'service') continue;
+      const known = largest.get(spec.jobClass);
+      if (!known || spec.tasks * spec.cpus > known.tasks * known.cpus) largest.set(spec.jobClass, spec);
+    }
+    return [...largest.values()];
+  }
+
+  private ask(
+    machine: MachineId,
+    from: ShardName,
+    to: ShardName | null,
+    shards: ReadonlyMap<ShardName, { value: ShardValue }>,
+    now: Millis,
+  ): void {
+    if (now - (this.asked.get(machine) ?? -1e9) < TRANSFER_PAUSE_MS) return;
+    this.asked.set(machine, now);
+    const holder = shards.get(from)?.value.holder;
+    if (holder !== undefined) this.deps.tell(holder, { kind: 'transfer', machine, to });
+  }
+
+  private async list(now: Millis): Promise<void> {
+    this.listing = true;
+    this.listAt = now;
+    try {
+      const rentals = await this.deps.cloud.list();
+      if (!rentals) return;
+      const at = this.deps.clock.now();
+      const listed = new Set<MachineId>();
+      for (const r of rentals) {
+        listed.add(r.id);
+        const known = this.learn(r.id, r.type, r.zone, r.spot, millis(at - r.ageS * 1000));
+        known.rentedAt = millis(Math.min(known.rentedAt, at - r.ageS * 1000));
+        known.listedAt = at;
+        known.phase = r.phase;
+      }
+      // Lists lag and can go back: absence means something only after twice the lag.
+      for (const [id, known] of this.known) {
+        const seen = Math.max(known.listedAt ?? known.rentedAt, known.reportedAt ?? -1e9);
+        if (!listed.has(id) && at - seen > 3 * this.deps.listLagMs + 5000) this.known.delete(id);
+      }
+    } finally {
+      this.listing = false;
+    }
+  }
+
+  private async grant(grants: readonly { readonly machine: MachineId; readonly to: ShardName }[], term: Revision): Promise<void> {
+    const byShard = new Map<ShardName, MachineId[]>();
+    for (const { machine, to } of grants) byShard.set(to, [...(byShard.get(to) ?? []), machine]);
+    for (const [to, machines] of byShard) {
+      const shards = this.shards();
+      const target = shards.get(to);
+      if (!target || this.deps.leading() !== term) return;
+      const taken = new Set([...shards.values()].flatMap((s) => s.value.machines.map((m) => m.id)));
+      const added: BlockMachine[] = [];
+      for (const id of machines) {
+        const known = this.known.get(id);
+        if (known && !taken.has(id)) added.push({ id, type: known.type, zone: known.zone, spot: known.spot, address: known.address });
+      }
+      if (added.length === 0) continue;
+      const value = encodeShard({ ...target.value, machines: [...target.value.machines, ...added] });
+      // Guarded by every shard: a machine must never be in two blocks, however late our view is.
+      const guards = [...shards].map(([name, s]) => ({ key: shardKey(name), version: s.version as number }));
+      guards.push({ key: LEADER, version: term });
+      const result = await this.deps.state.txn(Urgency.shard, guards, [{ put: shardKey(to), value }]);
+      if (result.kind === 'ok') {
+        this.deps.log.info({ shard: to, machines: added.map((m) => m.id) }, 'leased machines to a shard');
+        this.deps.mirror.apply({ key: shardKey(to), value, removed: false, version: result.revision });
+      } else if (result.kind === 'unknown') {
+        await settleShard(to, this.deps.state, this.deps.mirror, () => this.deps.leading() === term);
+      }
+    }
+  }
+
+  /** Machines that their holder has given up for lost: deleted first, then taken out of the block. */
+  private async removeLost(summaries: readonly ShardSummary[], placed: Map<MachineId, ShardName>, now: Millis): Promise<void> {
+    const lost = new Set<MachineId>();
+    for (const s of summaries) {
+      for (const m of s.machines) {
+        if (!placed.has(m.id)) continue;
+        const known = this.known.get(m.id);
+        if (m.lost || (m.faulty && m.empty) || known?.phase === 'failed') lost.add(m.id);
+      }
+    }
+    if (lost.size === 0 || !this.deps.cloud.mayCall()) return;
+    const ids = [...lost].slice(0, 50);
+    if (!(await this.deps.cloud.giveBack(ids))) return;
+    this.deps.log.info({ machines: ids }, 'gave back machines that were lost or faulty');
+    for (const id of ids) {
+      this.known.delete(id);
+      this.asked.set(id, now);
+    }
+    await this.takeOut(new Set(ids));
+  }
+
+  private async takeOut(ids: ReadonlySet<MachineId>): Promise<void> {
+    for (let tries = 0; tries < 3; tries++) {
+      let again = false;
+      for (const [name, { value, version }] of this.shards()) {
+        const rest = value.machines.filter((m) => !ids.has(m.id));
+        const term = this.deps.leading();
+        if (rest.length === value.machines.length || term === null) continue;
+        const next = encodeShard({ ...value, machines: rest });
+        const guards = [
+          { key: shardKey(name), version: version as number },
+          { key: LEADER, version: term },
+        ];
+        const result = await this.deps.state.txn(Urgency.shard, guards, [{ put: shardKey(name), value: next }]);
+        if (result.kind === 'ok') {
+          this.deps.mirror.apply({ key: shardKey(name), value: next, removed: false, version: result.revision });
+        } else {
+          again = true;
+          const read = await this.deps.state.get(shardKey(name));
+          if (read.kind === 'found') {
+            this.deps.mirror.apply({ key: read.entry.key, value: read.entry.value, removed: false, version: read.entry.version });
+          }
+        }
+      }
+      if (!again) return;
+    }
+  }
+
+  /** Machines in no block that are to go: let go by their holder, never up, silent or failed. */
+  private async returnLoose(placed: ReadonlyMap<MachineId, ShardName>, now: Millis): Promise<void> {
+    const ids: MachineId[] = [];
+    for (const known of this.known.values()) {
+      if (placed.has(known.id)) continue;
+      const bootS = this.deps.types().get(known.type)?.bootS ?? 60;
+      const ageS = (now - known.rentedAt) / 1000;
+      const silentS = (now - Math.max(known.reportedAt ?? -1e9, this.startedAt)) / 1000;
+      const letGo = now - (this.releasing.get(known.id) ?? -1e9) < 60_000;
+      const neverUp = known.phase === 'booting' && known.reportedAt === null && ageS > bootS * 3.5 + 10;
+      const silent = known.phase === 'running' && silentS > 25;
+      if (letGo || neverUp || silent || known.phase === 'failed' || known.doomed) ids.push(known.id);
+    }
+    for (const [id, at] of this.releasing) if (now - at > 60_000) this.releasing.delete(id);
+    if (ids.length === 0 || !this.deps.cloud.mayCall()) return;
+    const batch = ids.slice(0, 50);
+    // From the moment we ask, they may be gone: they are not leased any more.
+    for (const id of batch) {
+      const known = this.known.get(id);
+      if (known) known.doomed = true;
+    }
+    if (!(await this.deps.cloud.giveBack(batch))) return;
+    this.deps.log.info({ machines: batch }, 'gave machines back');
+    for (const id of batch) {
+      this.known.delete(id);
+      this.releasing.delete(id);
+    }
+  }
+
+  private async rent(wishes: readonly { type: string; zone: string; spot: boolean; count: number }[], term: Revision): Promise<void> {
+    if (this.renting) return;
+    this.renting = true;
+    try {
+      for (const wish of wishes) {
+        if (!this.deps.cloud.mayCall() || this.deps.leading() !== term) return;
+        this.requests += 1;
+        // The term is a revision and the number grows: no name is ever used twice.
+        const name = `w${term}-${this.requests}`;
+        const result = await this.deps.cloud.rent({ ...wish, name, count: Math.min(50, wish.count) });
+        const now = this.deps.clock.now();
+        if (result.kind === 'rented') {
+          for (const id of result.ids) this.learn(id, wish.type, wish.zone, wish.spot, now);
+          this.deps.log.info({ ...wish, got: result.ids.length }, 'rented machines');
+        }
+        if (result.kind === 'no-capacity' || (result.kind === 'rented' && result.ids.length < wish.count)) {
+          this.refused.set(kindKey(wish.type, wish.zone, wish.spot), now);
+        }
+      }
+    } finally {
+      this.renting = false;
+    }
+  }
+}
--- /dev/null
+++ b/src/leasing/plan.ts
@@ -0,0 +1,257 @@
+import type { MachineType } from '../cloud/index.js';
+import type { JobSpec } from '../jobs/index.js';
+import type { JobId, MachineId, ShardName } from '../kernel/index.js';
+import { allowedKind } from '../placement/index.js';
+import type { MachineSummary, ShardSummary } from '../peers/index.js';
+
+const EPSILON = 1e-6;
+
+/** A machine that is rented but in no block yet. */
+export interface LooseMachine {
+  readonly id: MachineId;
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  /** Its worker has reported. */
+  readonly up: boolean;
+  /** Seconds since the rental. */
+  readonly ageS: number;
+}
+
+export interface LeaseInput {
+  readonly shards: readonly ShardSummary[];
+  readonly loose: readonly LooseMachine[];
+  readonly types: ReadonlyMap<string, MachineType>;
+  readonly specOf: (id: JobId) => JobSpec | null;
+  /** Kinds that the cloud has just refused, as `type/zone/spot`. */
+  readonly refused: ReadonlySet<string>;
+  /** Room for services that must be there at any time, largest first. */
+  readonly headroom: readonly JobSpec[];
+  readonly idleReturnS: number;
+  /** Machines in any block, with their age. */
+  readonly ageOf: (id: MachineId) => number;
+}
+
+export interface RentWish {
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly count: number;
+}
+
+export interface LeasePlan {
+  readonly grants: readonly { readonly machine: MachineId; readonly to: ShardName }[];
+  readonly transfers: readonly { readonly machine: MachineId; readonly from: ShardName; readonly to: ShardName }[];
+  readonly rents: readonly RentWish[];
+  /** Empty machines that their holder should let go, to be given back. */
+  readonly releases: readonly { readonly machine: MachineId; readonly from: ShardName }[];
+}
+
+interface Want {
+  readonly spec: JobSpec;
+  readonly shard: ShardName | null;
+  slots: number;
+  readonly together: boolean;
+}
+
+interface Supply {
+  readonly type: MachineType;
+  readonly zone: string;
+  readonly spot: boolean;
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+}
+
+export const kindKey = (type: string, zone: string, spot: boolean): string => `${type}/${zone}/${spot ? 'spot' : 'own'}`;
+
+/** How many tasks more should run at once, so that what waits is through before it gets late. */
+export function wantedSlots(missing: number, running: number, estimateS: number, slackS: number, spec: JobSpec): number {
+  if (spec.kind !== 'array') return missing;
+  const runS = Math.max(1, estimateS);
+  const timeS = Math.max(runS, slackS * 0.6);
+  return Math.max(1, Math.min(missing, Math.ceil(((missing + running) * runS) / timeS) - running));
+}
+
+function slotsIn(spec: JobSpec, s: Pick<Supply, 'cpus' | 'gpus' | 'memoryGb'>): number {
+  const by = (need: number, free: number): number => (need <= 0 ? Infinity : Math.floor((free + EPSILON) / need));
+  const slots = Math.min(by(spec.cpus, s.cpus), by(spec.gpus, s.gpus), by(spec.memoryGb, s.memoryGb));
+  return Number.isFinite(slots) ? Math.max(0, slots) : 1;
+}
+
+function take(want: Want, s: Supply): number {
+  if (!allowedKind(want.spec, { type: s.type.name, zone: s.zone, spot: s.spot })) return 0;
+  // Accelerators are kept for work that needs them.
+  if (want.spec.gpus <= 0 && s.gpus > EPSILON) return 0;
+  const slots = Math.min(want.slots, slotsIn(want.spec, s));
+  s.cpus -= slots * want.spec.cpus;
+  s.gpus -= slots * want.spec.gpus;
+  s.memoryGb -= slots * want.spec.memoryGb;
+  want.slots -= slots;
+  return slots;
+}
+
+/** The leader's decision, pure: which block each machine belongs to, what to rent and what to give back. */
+export function planLeases(input: LeaseInput): LeasePlan {
+  const wants: Want[] = [];
+  for (const shard of input.shards) {
+    for (const d of shard.demand) {
+      const spec = input.specOf(d.job);
+      if (!spec) continue;
+      wants.push({
+        spec,
+        shard: shard.shard,
+        slots: wantedSlots(d.missing, d.running, d.estimateS, d.slackS, spec),
+        together: spec.kind === 'gang',
+      });
+    }
+  }
+  wants.sort((a, b) => b.spec.priority - a.spec.priority);
+
+  const grants: { machine: MachineId; to: ShardName }[] = [];
+  const transfers: { machine: MachineId; from: ShardName; to: ShardName }[] = [];
+  const releases: { machine: MachineId; from: ShardName }[] = [];
+  const supplyOf = (type: MachineType, zone: string, spot: boolean): Supply => ({
+    type,
+    zone,
+    spot,
+    cpus: type.cpus,
+    gpus: type.gpus,
+    memoryGb: type.memoryGb,
+  });
+
+  // A machine that has come up goes to the shard that needs it most, else to the one with least.
+  const blockSize = new Map(input.shards.map((s) => [s.shard, s.machines.reduce((sum, m) => sum + m.freeCpus + 1, 0)]));
+  for (const machine of input.loose) {
+    if (!machine.up || input.shards.length === 0) continue;
+    const type = input.types.get(machine.type);
+    if (!type) continue;
+    const supply = supplyOf(type, machine.zone, machine.spot);
+    const to = bestShard(wants, supply) ?? [...blockSize].sort((a, b) => a[1] - b[1] || (a[0] < b[0] ? -1 : 1))[0]?.[0];
+    if (to === undefined) continue;
+    serve(wants, supply, to);
+    grants.push({ machine: machine.id, to });
+    blockSize.set(to, (blockSize.get(to) ?? 0) + type.cpus);
+  }
+
+  // Idle machines follow the demand.
+  const idle: { machine: MachineSummary; shard: ShardSummary }[] = [];
+  for (const shard of input.shards) {
+    for (const machine of shard.machines) if (machine.empty && machine.usable && !machine.lost && !machine.faulty) idle.push({ machine, shard });
+  }
+  const stillIdle: typeof idle = [];
+  for (const entry of idle) {
+    const type = input.types.get(entry.machine.type);
+    if (!type) continue;
+    const supply = supplyOf(type, entry.machine.zone, entry.machine.spot);
+    if (entry.machine.idleMs < 300) {
+      serve(wants, supply, entry.shard.shard);
+      continue;
+    }
+    const to = bestShard(wants, supply);
+    if (to !== null && to !== entry.shard.shard) {
+      serve(wants, supply, to);
+      transfers.push({ machine: entry.machine.id, from: entry.shard.shard, to });
+    } else if (to !== null) serve(wants, supply, to);
+    else stillIdle.push(entry);
+  }
+
+  // Machines on their way will serve what is left; those that take too long do not count.
+  for (const machine of input.loose) {
+    if (machine.up) continue;
+    const type = input.types.get(machine.type);
+    if (!type || machine.ageS > type.bootS * 1.8 + 5) continue;
+    const supply = supplyOf(type, machine.zone, machine.spot);
+    for (const want of wants) if (want.slots > 0) take(want, supply);
+  }
+
+  // Room for services: what is free anywhere counts, partly used machines first.
+  const room = (without: MachineId | null): Supply[] => {
+    const supplies: Supply[] = [];
+    for (const shard of input.shards) {
+      for (const m of shard.machines) {
+        const type = input.types.get(m.type);
+        if (!type || !m.usable || m.faulty || m.lost || m.id === without) continue;
+        supplies.push({ type, zone: m.zone, spot: m.spot, cpus: m.freeCpus, gpus: m.freeGpus, memoryGb: m.freeMemoryGb });
+      }
+    }
+    for (const m of input.loose) {
+      const type = input.types.get(m.type);
+      if (type && m.ageS <= type.bootS * 1.8 + 5) supplies.push(supplyOf(type, m.zone, m.spot));
+    }
+    return supplies;
+  };
+  const lacking = (supplies: Supply[]): Want[] => {
+    const needs = input.headroom.map((spec): Want => ({ spec, shard: null, slots: spec.tasks, together: false }));
+    for (const need of needs) for (const supply of supplies) if (need.slots > 0) take(need, supply);
+    return needs.filter((need) => need.slots > 0);
+  };
+
+  const anyWant = wants.some((want) => want.slots > 0);
+  let releasing = 0;
+  const longIdle = stillIdle
+    .filter(({ machine }) => machine.idleMs > input.idleReturnS * 1000 && input.ageOf(machine.id) > 50)
+    .sort((a, b) => hourly(input, b.machine) - hourly(input, a.machine));
+  for (const { machine, shard } of longIdle) {
+    if (releasing >= 2) break;
+    const supply = input.types.get(machine.type);
+    if (!supply) continue;
+    if (anyWant && wants.some((w) => w.slots > 0 && allowedKind(w.spec, machine) && (w.spec.gpus > 0 || machine.freeGpus < EPSILON))) continue;
+    if (machine.freeGpus < EPSILON && !machine.spot && lacking(room(machine.id)).length > 0) continue;
+    releases.push({ machine: machine.id, from: shard.shard });
+    releasing += 1;
+  }
+
+  const rents = new Map<string, RentWish>();
+  for (const want of [...wants, ...lacking(room(null))]) rentFor(want, input, rents);
+  return { grants, transfers, rents: [...rents.values()], releases };
+}
+
+function hourly(input: LeaseInput, m: MachineSummary): number {
+  const type = input.types.get(m.type);
+  return type ? (m.spot ? type.spotPrice : type.price) : 0;
+}
+
+function bestShard(wants: readonly Want[], supply: Supply): ShardName | null {
+  for (const want of wants) {
+    if (want.slots <= 0 || want.shard === null) continue;
+    if (!allowedKind(want.spec, { type: supply.type.name, zone: supply.zone, spot: supply.spot })) continue;
+    if (want.spec.gpus <= 0 && supply.gpus > EPSILON) continue;
+    if (slotsIn(want.spec, supply) > 0) return want.shard;
+  }
+  return null;
+}
+
+function serve(wants: readonly Want[], supply: Supply, shard: ShardName): void {
+  for (const want of wants) if (want.slots > 0 && want.shard === shard) take(want, supply);
+}
+
+/** The cheapest kind for what is left of a want: cost of a machine over the slots that are really used. */
+function rentFor(want: Want, input: LeaseInput, rents: Map<string, RentWish>): void {
+  for (let tries = 0; tries < 40 && want.slots > 0; tries++) {
+    let best: { type: MachineType; zone: string; spot: boolean; slots: number } | null = null;
+    let bestCost = Infinity;
+    for (const type of input.types.values()) {
+      const slots = slotsIn(want.spec, type);
+      if (slots <= 0 || (want.spec.gpus <= 0 && type.gpus > 0)) continue;
+      for (const zone of type.zones) {
+        for (const spot of [true, false]) {
+          if (!allowedKind(want.spec, { type: type.name, zone, spot })) continue;
+          const key = kindKey(type.name, zone, spot);
+          if (input.refused.has(key)) continue;
+          const price = spot ? type.spotPrice : type.price;
+          const already = rents.get(key)?.count ?? 0;
+          const cost = price / Math.min(slots, want.slots) + already * 1e-6 * price;
+          if (cost < bestCost) {
+            best = { type, zone, spot, slots };
+            bestCost = cost;
+          }
+        }
+      }
+    }
+    if (!best) return;
+    const key = kindKey(best.type.name, best.zone, best.spot);
+    rents.set(key, { type: best.type.name, zone: best.zone, spot: best.spot, count: (rents.get(key)?.count ?? 0) + 1 });
+    want.slots -= best.slots;
+  }
+}
--- /dev/null
+++ b/src/leasing/routing.ts
@@ -0,0 +1,85 @@
+import type { MachineType } from '../cloud/index.js';
+import type { JobSpec } from '../jobs/index.js';
+import type { ShardName } from '../kernel/index.js';
+import { allowedKind } from '../placement/index.js';
+import type { ShardSummary } from '../peers/index.js';
+
+const EPSILON = 1e-6;
+
+export interface ShardRoom {
+  readonly shard: ShardName;
+  /** Tasks that could start now. */
+  readonly slots: number;
+  /** How many of those would find the image in place. */
+  readonly warm: number;
+  /** Free cpus of machines that the job may use. */
+  readonly freeCpus: number;
+  readonly waiting: number;
+}
+
+export function roomFor(spec: JobSpec, summary: ShardSummary, types: ReadonlyMap<string, MachineType>): ShardRoom {
+  let slots = 0;
+  let warm = 0;
+  let freeCpus = 0;
+  for (const m of summary.machines) {
+    if (!m.usable || m.faulty || m.lost || !allowedKind(spec, m)) continue;
+    if (spec.gpus <= 0 && m.freeGpus > EPSILON) continue;
+    const by = (need: number, free: number): number => (need <= 0 ? Infinity : Math.floor((free + EPSILON) / need));
+    const here = Math.min(
+      by(spec.cpus, m.freeCpus),
+      by(spec.gpus, m.freeGpus),
+      by(spec.memoryGb, m.freeMemoryGb),
+      spec.tasks,
+    );
+    if (here <= 0) continue;
+    slots += here;
+    freeCpus += m.freeCpus;
+    const slowFetch = spec.imageGb / (types.get(m.type)?.fetchGbPerS ?? 1) > 3;
+    if (m.images.includes(spec.image) || (!slowFetch && spec.kind !== 'service')) warm += here;
+  }
+  const waiting = summary.demand.reduce((sum, d) => sum + d.missing, 0);
+  return { shard: summary.shard, slots: Math.min(slots, spec.tasks), warm: Math.min(warm, spec.tasks), freeCpus, waiting };
+}
+
+/** Where a job can start soonest: room for all of it, images in place, most left over; else the shortest queue. */
+export function chooseShard(
+  spec: JobSpec,
+  summaries: readonly ShardSummary[],
+  types: ReadonlyMap<string, MachineType>,
+  own: ShardName | null,
+): ShardName | null {
+  const rooms = summaries.map((s) => roomFor(spec, s, types));
+  rooms.sort(
+    (a, b) =>
+      b.slots - a.slots ||
+      b.warm - a.warm ||
+      (a.slots === 0 ? a.waiting - b.waiting : 0) ||
+      b.freeCpus - a.freeCpus ||
+      Number(b.shard === own) - Number(a.shard === own) ||
+      (a.shard < b.shard ? -1 : 1),
+  );
+  return rooms[0]?.shard ?? own;
+}
+
+/** Until the next summary, room that a job was sent to is taken. */
+export function bookRoom(spec: JobSpec, summary: ShardSummary): ShardSummary {
+  let left = spec.tasks;
+  const machines = summary.machines.map((m) => {
+    if (left <= 0 || !m.usable || !allowedKind(spec, m) || (spec.gpus <= 0 && m.freeGpus > EPSILON)) return m;
+    let { freeCpus, freeGpus, freeMemoryGb } = m;
+    while (
+      left > 0 &&
+      freeCpus + EPSILON >= spec.cpus &&
+      freeGpus + EPSILON >= spec.gpus &&
+      freeMemoryGb + EPSILON >= spec.memoryGb &&
+      spec.cpus + spec.gpus + spec.memoryGb > 0
+    ) {
+      freeCpus -= spec.cpus;
+      freeGpus -= spec.gpus;
+      freeMemoryGb -= spec.memoryGb;
+      left -= 1;
+    }
+    return { ...m, freeCpus, freeGpus, freeMemoryGb, empty: false };
+  });
+  return { ...summary, machines };
+}
--- /dev/null
+++ b/src/membership/index.ts
@@ -0,0 +1,3 @@
+export * from './membership.js';
+export * from './shard.js';
+export * from './settle.js';
--- /dev/null
+++ b/src/membership/membership.ts
@@ -0,0 +1,201 @@
+import { isObject, millis, shardName, type Clock, type Incarnation, type Logger, type Millis, type NodeName, type Revision, type ShardName } from '../kernel/index.js';
+import { LEADER, nodeKey, shardKey, Urgency, type Mirror, type StateClient } from '../state/index.js';
+import { decodeShard, encodeShard, type ShardValue } from './shard.js';
+
+export const LEASE_MS = 4000;
+const RENEW_EVERY_MS = 1000;
+/** How long another node waits before it claims what its own node may still claim itself. */
+const RANK_DELAY_MS = 500;
+const FIRST_START_MS = 4000;
+
+/** An earlier holder that may still live and command. */
+export interface PreviousHolder {
+  readonly node: NodeName;
+  readonly incarnation: Incarnation;
+}
+
+export interface MembershipHooks {
+  held(): readonly ShardName[];
+  /** After a lapse: reads afresh whether our shards are still ours. */
+  verify(): Promise<void>;
+}
+
+/** Is a shard free to be claimed? Its holder's key is gone, or belongs to a later life of the node. */
+export function isVacant(value: ShardValue | null, alive: (node: NodeName) => Incarnation | null): boolean {
+  return value === null || value.released || alive(value.holder) !== value.incarnation;
+}
+
+/** This node's lease and key, the election of the leader, and claims of shards. */
+export class Membership {
+  private lease: number | undefined;
+  private nodeVersion: Revision | undefined;
+  private readonly previous = new Map<ShardName, PreviousHolder | null>();
+  private vacantSince = new Map<ShardName, Millis>();
+  private provenAt: Millis;
+  private readonly startedAt: Millis;
+
+  constructor(
+    private readonly self: NodeName,
+    private readonly others: readonly NodeName[],
+    private readonly incarnation: Incarnation,
+    private readonly state: StateClient,
+    private readonly mirror: Mirror,
+    private readonly hooks: MembershipHooks,
+    private readonly clock: Clock,
+    private readonly log: Logger,
+  ) {
+    this.startedAt = clock.now();
+    this.provenAt = millis(-1);
+  }
+
+  get registered(): boolean {
+    return this.nodeVersion !== undefined;
+  }
+
+  /** The latest moment at which nobody can yet have taken this node's shards over. */
+  get heldUntilAtLeast(): Millis {
+    return this.provenAt;
+  }
+
+  alive = (node: NodeName): Incarnation | null => {
+    const value = this.mirror.get(nodeKey(node))?.value;
+    return isObject(value) && typeof value['incarnation'] === 'string' ? (value['incarnation'] as Incarnation) : null;
+  };
+
+  /** The names of all shards: one for each controller, named after it. */
+  get shards(): readonly ShardName[] {
+    return [this.self, ...this.others].map((node) => shardName(node)).sort();
+  }
+
+  get leader(): NodeName | null {
+    const value = this.mirror.get(LEADER)?.value;
+    return isObject(value) && typeof value['node'] === 'string' ? (value['node'] as NodeName) : null;
+  }
+
+  /** The version of the leader's key while this node leads; every write of the leader is guarded by it. */
+  get leading(): Revision | null {
+    const entry = this.mirror.get(LEADER);
+    if (!entry || !isObject(entry.value) || entry.value['incarnation'] !== this.incarnation) return null;
+    return this.clock.now() - this.provenAt < LEASE_MS ? entry.version : null;
+  }
+
+  get renewEveryMs(): number {
+    return RENEW_EVERY_MS;
+  }
+
+  /** One round: keep the lease and the node's key. */
+  async keep(): Promise<void> {
+    const sentAt = this.clock.now();
+    if (this.lease !== undefined && this.nodeVersion !== undefined) {
+      const renewed = await this.state.renewLease(this.lease);
+      if (renewed === 'ok') {
+        this.provenAt = sentAt;
+        return;
+      }
+      if (renewed === 'unavailable') return;
+      this.log.info('the lease in the state service is gone, registering again');
+      this.lease = undefined;
+      this.nodeVersion = undefined;
+    }
+    this.lease ??= (await this.state.grantLease(LEASE_MS)) ?? undefined;
+    if (this.lease === undefined) return;
+    const value = { incarnation: this.incarnation };
+    const result = await this.state.txn(Urgency.session, [], [{ put: nodeKey(this.self), value, lease: this.lease }], 1500);
+    if (result.kind === 'ok') {
+      this.nodeVersion = result.revision;
+      this.mirror.apply({ key: nodeKey(this.self), value, removed: false, version: result.revision });
+      await this.hooks.verify();
+      this.log.info({ incarnation: this.incarnation }, 'registered with the state service');
+    } else if (result.kind === 'no-lease') this.lease = undefined;
+  }
+
+  /** One round: lead if nobody does. */
+  async elect(): Promise<void> {
+    if (this.lease === undefined || this.nodeVersion === undefined || this.mirror.get(LEADER)) return;
+    const value = { node: this.self, incarnation: this.incarnation };
+    const result = await this.state.txn(
+      Urgency.shard,
+      [
+        { key: LEADER, version: 0 },
+        { key: nodeKey(this.self), version: this.nodeVersion },
+      ],
+      [{ put: LEADER, value, lease: this.lease }],
+    );
+    if (result.kind === 'ok') {
+      this.mirror.apply({ key: LEADER, value, removed: false, version: result.revision });
+      this.log.info('this node leads: it leases machines and rents');
+    }
+  }
+
+  /** One round: claim what is vacant, our own shard at once and others' after a pause by rank. */
+  async claim(): Promise<void> {
+    const nodeVersion = this.nodeVersion;
+    if (nodeVersion === undefined) return;
+    const now = this.clock.now();
+    for (const shard of this.shards) {
+      const entry = this.mirror.get(shardKey(shard));
+      const value = entry ? decodeShard(entry.value) : null;
+      if (!isVacant(value, this.alive)) {
+        this.vacantSince.delete(shard);
+        continue;
+      }
+      const since = this.vacantSince.get(shard) ?? now;
+      this.vacantSince.set(shard, since);
+      if (now - since < this.delayFor(shard, entry !== undefined, value, now)) continue;
+      await this.claimOne(shard, entry?.version ?? 0, value, nodeVersion);
+    }
+  }
+
+  private delayFor(shard: ShardName, exists: boolean, value: ShardValue | null, now: Millis): number {
+    if ((shard as string) === (this.self as string)) return 0;
+    const home = shard as unknown as NodeName;
+    // A shard that was never claimed waits for its own node's first start.
+    if (!exists) return Math.max(0, FIRST_START_MS - (now - this.startedAt)) + RANK_DELAY_MS;
+    const homeAlive = this.alive(home) !== null;
+    const rank = this.others.filter((n) => n !== home && this.alive(n) !== null && n < this.self).length;
+    const load = this.hooks.held().length;
+    return (homeAlive ? 3 * RANK_DELAY_MS : 0) + (value?.released === true ? RANK_DELAY_MS : 0) + rank * 150 + Math.max(0, load - 1) * RANK_DELAY_MS;
+  }
+
+  private async claimOne(shard: ShardName, version: number, value: ShardValue | null, nodeVersion: Revision): Promise<void> {
+    const holder = value?.holder ?? null;
+    const guards = [
+      { key: shardKey(shard), version },
+      { key: nodeKey(this.self), version: nodeVersion as number },
+    ];
+    // A holder that registers again in this very moment keeps its shard.
+    if (holder !== null && holder !== this.self && value?.released !== true) {
+      guards.push({ key: nodeKey(holder), version: this.mirror.get(nodeKey(holder))?.version ?? 0 });
+    }
+    const next: ShardValue = {
+      holder: this.self,
+      incarnation: this.incarnation,
+      released: false,
+      machines: value?.machines ?? [],
+    };
+    const mayLive = value !== null && holder !== null && holder !== this.self && !value.released;
+    // Noted before the write: a claim whose outcome is unknown shows in the watch.
+    this.previous.set(shard, mayLive ? { node: holder, incarnation: value.incarnation } : null);
+    const result = await this.state.txn(Urgency.session, guards, [{ put: shardKey(shard), value: encodeShard(next) }]);
+    if (result.kind !== 'ok') {
+      if (result.kind === 'unknown') await this.refresh(shard);
+      return;
+    }
+    this.vacantSince.delete(shard);
+    this.log.info({ shard, from: holder, machines: next.machines.length }, 'claimed a shard');
+    this.mirror.apply({ key: shardKey(shard), value: encodeShard(next), removed: false, version: result.revision });
+  }
+
+  /** Who held a shard before our latest claim and may still command. */
+  previousOf(shard: ShardName): PreviousHolder | null {
+    return this.previous.get(shard) ?? null;
+  }
+
+  /** The outcome of a claim is not known: what is stored decides. */
+  private async refresh(shard: ShardName): Promise<void> {
+    const read = await this.state.get(shardKey(shard));
+    if (read.kind !== 'found') return;
+    const { key, value, version } = read.entry;
+    this.mirror.apply({ key, value, removed: false, version });
+  }
+}
--- /dev/null
+++ b/src/peers/messages.ts
@@ -0,0 +1,179 @@
+import {
+  incarnation,
+  jobId,
+  machineId,
+  nodeName,
+  shardName,
+  type Incarnation,
+  type JobId,
+  type MachineId,
+  type NodeName,
+  type ShardName,
+} from '../kernel/index.js';
+import { FrameError, FrameReader, FrameWriter } from './codec.js';
+
+/** What a holder tells the others about one machine of its block. */
+export interface MachineSummary {
+  readonly id: MachineId;
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly freeCpus: number;
+  readonly freeGpus: number;
+  readonly freeMemoryGb: number;
+  readonly idleMs: number;
+  readonly empty: boolean;
+  readonly usable: boolean;
+  /** Everything there is gone or unreachable for good: to be given back. */
+  readonly lost: boolean;
+  readonly faulty: boolean;
+  readonly images: readonly string[];
+}
+
+export interface DemandSummary {
+  readonly job: JobId;
+  /** Tasks that found no room. */
+  readonly missing: number;
+  readonly running: number;
+  readonly slackS: number;
+  readonly estimateS: number;
+}
+
+export interface RunningSummary {
+  readonly job: JobId;
+  readonly running: number;
+  readonly done: number;
+}
+
+export interface ShardSummary {
+  readonly shard: ShardName;
+  readonly holder: NodeName;
+  readonly machines: readonly MachineSummary[];
+  readonly demand: readonly DemandSummary[];
+  readonly running: readonly RunningSummary[];
+}
+
+export type AskOp = 'submit' | 'query' | 'cancel';
+const OPS: readonly AskOp[] = ['submit', 'query', 'cancel'];
+
+export type PeerMessage =
+  | { readonly kind: 'hello'; readonly node: NodeName; readonly incarnation: Incarnation; readonly stateOk: boolean }
+  | { readonly kind: 'summary'; readonly summary: ShardSummary }
+  | { readonly kind: 'cancelled'; readonly job: JobId }
+  /** The leader asks a holder to lease an empty machine to another shard; null: to let it go. */
+  | { readonly kind: 'transfer'; readonly machine: MachineId; readonly to: ShardName | null }
+  | { readonly kind: 'ask'; readonly id: number; readonly op: AskOp; readonly body: string }
+  | { readonly kind: 'answer'; readonly id: number; readonly status: number; readonly body: string }
+  | { readonly kind: 'standdown'; readonly shard: ShardName; readonly version: number }
+  | { readonly kind: 'stooddown'; readonly shard: ShardName; readonly version: number };
+
+const Kind = { hello: 1, summary: 2, cancelled: 3, transfer: 4, ask: 5, answer: 6, standdown: 7, stooddown: 8 } as const;
+
+const flags = (...bits: boolean[]): number => bits.reduce((sum, bit, i) => sum | (bit ? 1 << i : 0), 0);
+
+export function encodeMessage(m: PeerMessage): Buffer {
+  const w = new FrameWriter(Kind[m.kind]);
+  switch (m.kind) {
+    case 'hello':
+      return w.text(m.node).text(m.incarnation).u8(flags(m.stateOk)).finish();
+    case 'summary': {
+      const s = m.summary;
+      w.text(s.shard).text(s.holder);
+      w.items(s.machines, (x) => {
+        w.text(x.id).text(x.type).text(x.zone);
+        w.f64(x.freeCpus).f64(x.freeGpus).f64(x.freeMemoryGb).f64(x.idleMs);
+        w.u8(flags(x.spot, x.empty, x.usable, x.lost, x.faulty));
+        w.items(x.images, (image) => w.text(image));
+      });
+      w.items(s.demand, (d) => w.text(d.job).u32(d.missing).u32(d.running).f64(d.slackS).f64(d.estimateS));
+      w.items(s.running, (r) => w.text(r.job).u32(r.running).u32(r.done));
+      return w.finish();
+    }
+    case 'cancelled':
+      return w.text(m.job).finish();
+    case 'transfer':
+      return w
+        .text(m.machine)
+        .text(m.to ?? '')
+        .finish();
+    case 'ask':
+      return w.u32(m.id).u8(OPS.indexOf(m.op)).text(m.body).finish();
+    case 'answer':
+      return w.u32(m.id).u16(m.status).text(m.body).finish();
+    case 'standdown':
+    case 'stooddown':
+      return w.text(m.shard).f64(m.version).finish();
+  }
+}
+
+export function decodeMessage(frame: Buffer): PeerMessage {
+  const r = new FrameReader(frame);
+  const message = decodeFields(r);
+  r.end();
+  return message;
+}
+
+function decodeFields(r: FrameReader): PeerMessage {
+  switch (r.kind) {
+    case Kind.hello:
+      return { kind: 'hello', node: nodeName(r.text()), incarnation: incarnation(r.text()), stateOk: (r.u8() & 1) !== 0 };
+    case Kind.summary: {
+      const shard = shardName(r.text());
+      const holder = nodeName(r.text());
+      const machines = r.items((): MachineSummary => {
+        const id = machineId(r.text());
+        const type = r.text();
+        const zone = r.text();
+        const [freeCpus, freeGpus, freeMemoryGb, idleMs] = [r.f64(), r.f64(), r.f64(), r.f64()];
+        const bits = r.u8();
+        return {
+          id,
+          type,
+          zone,
+          freeCpus,
+          freeGpus,
+          freeMemoryGb,
+          idleMs,
+          spot: (bits & 1) !== 0,
+          empty: (bits & 2) !== 0,
+          usable: (bits & 4) !== 0,
+          lost: (bits & 8) !== 0,
+          faulty: (bits & 16) !== 0,
+          images: r.items(() => r.text()),
+        };
+      });
+      const demand = r.items(
+        (): DemandSummary => ({
+          job: jobId(r.text()),
+          missing: r.u32(),
+          running: r.u32(),
+          slackS: r.f64(),
+          estimateS: r.f64(),
+        }),
+      );
+      const running = r.items((): RunningSummary => ({ job: jobId(r.text()), running: r.u32(), done: r.u32() }));
+      return { kind: 'summary', summary: { shard, holder, machines, demand, running } };
+    }
+    case Kind.cancelled:
+      return { kind: 'cancelled', job: jobId(r.text()) };
+    case Kind.transfer: {
+      const machine = machineId(r.text());
+      const to = r.text();
+      return { kind: 'transfer', machine, to: to === '' ? null : shardName(to) };
+    }
+    case Kind.ask: {
+      const id = r.u32();
+      const op = OPS[r.u8()];
+      if (op === undefined) throw new FrameError('unknown request');
+      return { kind: 'ask', id, op, body: r.text() };
+    }
+    case Kind.answer:
+      return { kind: 'answer', id: r.u32(), status: r.u16(), body: r.text() };
+    case Kind.standdown:
+      return { kind: 'standdown', shard: shardName(r.text()), version: r.f64() };
+    case Kind.stooddown:
+      return { kind: 'stooddown', shard: shardName(r.text()), version: r.f64() };
+    default:
+      throw new FrameError(`unknown frame kind ${r.kind}`);
+  }
+}
--- /dev/null
+++ b/src/placement/index.ts
@@ -0,0 +1,1 @@
+export * from './plan.js';
--- /dev/null
+++ b/src/placement/plan.ts
@@ -0,0 +1,339 @@
+import type { JobId, MachineId } from '../kernel/index.js';
+import { Priority, zoneLimit, type JobSpec } from '../jobs/index.js';
+
+/** Sums of decimal amounts are compared with a little slack. */
+const EPSILON = 1e-6;
+
+export interface MachineView {
+  readonly id: MachineId;
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly cpus: number;
+  readonly gpus: number;
+  readonly memoryGb: number;
+  readonly freeCpus: number;
+  readonly freeGpus: number;
+  readonly freeMemoryGb: number;
+  /** New tasks may be put here. */
+  readonly usable: boolean;
+  readonly images: ReadonlySet<string>;
+  readonly fetchGbPerS: number;
+  /** Images being fetched now. */
+  readonly fetching: number;
+  /** Price of a cpu, to fill cheap machines first. */
+  readonly cpuPrice: number;
+  /** 0: healthy; more: tasks there have failed or run slowly. */
+  readonly suspicion: number;
+  /** What could be stopped to make room. */
+  readonly running: readonly Stoppable[];
+}
+
+export interface Stoppable {
+  readonly job: JobId;
+  readonly index: number;
+  readonly priority: Priority;
+  readonly cpus: number;
+  readonly gpus: number;
+  readonly memoryGb: number;
+  /** Work that is lost when it is stopped, in seconds. */
+  readonly lossS: number;
+  readonly stopping: boolean;
+}
+
+export interface PendingJob {
+  readonly spec: JobSpec;
+  /** Task numbers that may start now, lowest first; a gang lists all of its tasks or none. */
+  readonly ready: readonly number[];
+  /** Tasks possibly there now, by zone. */
+  readonly zoneUse: ReadonlyMap<string, number>;
+  readonly machineUse: ReadonlyMap<MachineId, number>;
+  /** Machines where this job's tasks have failed. */
+  readonly avoid: ReadonlySet<MachineId>;
+  /** Seconds until it gets late; null: no aim of its own. */
+  readonly slackS: number | null;
+  readonly waitedS: number;
+}
+
+export interface TeamUse {
+  cpus: number;
+  gpus: number;
+  readonly cpusMax: number;
+  readonly gpusMax: number;
+}
+
+export interface PlanInput {
+  readonly machines: readonly MachineView[];
+  readonly pending: readonly PendingJob[];
+  /** Only teams that have a limit. */
+  readonly teams: ReadonlyMap<string, TeamUse>;
+  readonly maxStarts: number;
+}
+
+export interface PlannedStart {
+  readonly job: JobId;
+  readonly index: number;
+  readonly machine: MachineId;
+}
+
+export interface PlannedStop {
+  readonly job: JobId;
+  readonly index: number;
+  readonly machine: MachineId;
+  readonly forJob: JobId;
+}
+
+export interface Unplaced {
+  readonly job: JobId;
+  readonly count: number;
+}
+
+export interface Plan {
+  readonly starts: readonly PlannedStart[];
+  readonly stops: readonly PlannedStop[];
+  /** What found no room: the leader leases and rents for it. */
+  readonly unplaced: readonly Unplaced[];
+}
+
+interface Room {
+  readonly view: MachineView;
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+  /** Room that is on its way because tasks there are being stopped. */
+  coming: { cpus: number; gpus: number; memoryGb: number };
+  fetching: Set<string>;
+}
+
+/** Services first, then by priority, then what gets late first. */
+export function pendingOrder(a: PendingJob, b: PendingJob): number {
+  const service = Number(b.spec.kind === 'service') - Number(a.spec.kind === 'service');
+  if (service !== 0) return service;
+  if (a.spec.priority !== b.spec.priority) return b.spec.priority - a.spec.priority;
+  const slack = (a.slackS ?? 1e9) - (b.slackS ?? 1e9);
+  if (slack !== 0) return slack;
+  if (a.waitedS !== b.waitedS) return b.waitedS - a.waitedS;
+  return a.spec.id < b.spec.id ? -1 : 1;
+}
+
+/** Whether the machine's kind is allowed; what the rules call the wrong place is decided here. */
+export function allowedKind(spec: JobSpec, m: Pick<MachineView, 'type' | 'zone' | 'spot'>): boolean {
+  if (spec.types !== null && !spec.types.includes(m.type)) return false;
+  if (spec.zone !== null && spec.zone !== m.zone) return false;
+  return !m.spot || spec.spot;
+}
+
+export function allowedZone(spec: JobSpec, zone: string, use: ReadonlyMap<string, number>): boolean {
+  if (spec.oneZone) for (const [other, count] of use) if (count > 0 && other !== zone) return false;
+  return !spec.spread || (use.get(zone) ?? 0) < zoneLimit(spec);
+}
+
+function fits(spec: JobSpec, room: Room): boolean {
+  if (spec.cpus > room.cpus + EPSILON) return false;
+  if (spec.gpus > room.gpus + EPSILON) return false;
+  if (spec.memoryGb > room.memoryGb + EPSILON) return false;
+  // Free accelerators keep their machine's cpus: other work takes what a job with accelerators leaves.
+  return spec.gpus > 0 || room.gpus < EPSILON;
+}
+
+function book(spec: JobSpec, room: Room): void {
+  room.cpus -= spec.cpus;
+  room.gpus -= spec.gpus;
+  room.memoryGb -= spec.memoryGb;
+  if (!room.view.images.has(spec.image)) room.fetching.add(spec.image);
+}
+
+/** Lower is better. */
+function score(spec: JobSpec, room: Room, sameJobHere: number, avoid: boolean): number {
+  const m = room.view;
+  let s = 0;
+  if (avoid) s += 500;
+  s += m.suspicion * 60;
+  if (!m.images.has(spec.image) && !room.fetching.has(spec.image)) {
+    s += (spec.imageGb / m.fetchGbPerS) * (1 + m.fetching + room.fetching.size);
+  }
+  const leftover = (room.cpus - spec.cpus) / Math.max(1, m.cpus);
+  if (spec.kind === 'service') {
+    s += sameJobHere * 4;
+    s += leftover * 0.5;
+  } else {
+    s += leftover * 2;
+    if (spec.spot && !m.spot) s += 1.5;
+  }
+  s += m.cpuPrice * 5;
+  return s;
+}
+
+export function planPlacement(input: PlanInput): Plan {
+  const rooms: Room[] = input.machines
+    .filter((m) => m.usable)
+    .map((view) => {
+      const coming = { cpus: 0, gpus: 0, memoryGb: 0 };
+      for (const task of view.running) {
+        if (!task.stopping) continue;
+        coming.cpus += task.cpus;
+        coming.gpus += task.gpus;
+        coming.memoryGb += task.memoryGb;
+      }
+      return {
+        view,
+        cpus: view.freeCpus,
+        gpus: view.freeGpus,
+        memoryGb: view.freeMemoryGb,
+        coming,
+        fetching: new Set<string>(),
+      };
+    });
+  const teams = new Map([...input.teams].map(([name, use]) => [name, { ...use }]));
+  const starts: PlannedStart[] = [];
+  const stops: PlannedStop[] = [];
+  const unplaced: Unplaced[] = [];
+  const stopped = new Set<string>();
+
+  const withinLimit = (spec: JobSpec, count: number): boolean => {
+    const team = teams.get(spec.team);
+    if (!team) return true;
+    if (team.cpusMax > 0 && team.cpus + spec.cpus * count > team.cpusMax + EPSILON) return false;
+    return !(team.gpusMax > 0 && team.gpus + spec.gpus * count > team.gpusMax + EPSILON);
+  };
+  const charge = (spec: JobSpec): void => {
+    const team = teams.get(spec.team);
+    if (!team) return;
+    team.cpus += spec.cpus;
+    team.gpus += spec.gpus;
+  };
+
+  for (const job of [...input.pending].sort(pendingOrder)) {
+    const { spec } = job;
+    const candidates = rooms.filter((room) => allowedKind(spec, room.view));
+    if (spec.kind === 'gang') {
+      if (!withinLimit(spec, job.ready.length)) continue;
+      const placed = placeGang(job, candidates);
+      if (placed && starts.length + placed.length <= input.maxStarts) {
+        for (const { index, room } of placed) {
+          book(spec, room);
+          charge(spec);
+          starts.push({ job: spec.id, index, machine: room.view.id });
+        }
+      } else unplaced.push({ job: spec.id, count: job.ready.length });
+      continue;
+    }
+    const zoneUse = new Map(job.zoneUse);
+    const machineUse = new Map(job.machineUse);
+    let missing = 0;
+    for (const index of job.ready) {
+      if (starts.length >= input.maxStarts) break;
+      if (!withinLimit(spec, 1)) break;
+      let best: Room | undefined;
+      let bestScore = Infinity;
+      for (const room of candidates) {
+        if (!fits(spec, room) || !allowedZone(spec, room.view.zone, zoneUse)) continue;
+        const s = score(spec, room, machineUse.get(room.view.id) ?? 0, job.avoid.has(room.view.id));
+        if (s < bestScore) {
+          best = room;
+          bestScore = s;
+        }
+      }
+      if (!best) {
+        missing = job.ready.length - job.ready.indexOf(index);
+        break;
+      }
+      book(spec, best);
+      charge(spec);
+      zoneUse.set(best.view.zone, (zoneUse.get(best.view.zone) ?? 0) + 1);
+      machineUse.set(best.view.id, (machineUse.get(best.view.id) ?? 0) + 1);
+      starts.push({ job: spec.id, index, machine: best.view.id });
+    }
+    if (missing > 0) {
+      const waiting = preempt(job, missing, candidates, zoneUse, stopped, stops);
+      if (missing - waiting > 0) unplaced.push({ job: spec.id, count: missing - waiting });
+    }
+  }
+  return { starts, stops, unplaced };
+}
+
+/** Room for every task at once, or nothing. */
+function placeGang(job: PendingJob, candidates: readonly Room[]): { index: number; room: Room }[] | null {
+  const { spec } = job;
+  const zones = spec.oneZone ? [...new Set(candidates.map((c) => c.view.zone))].sort() : [null];
+  for (const zone of zones) {
+    const here = candidates.filter((c) => zone === null || c.view.zone === zone);
+    const left = new Map(here.map((room) => [room, { cpus: room.cpus, gpus: room.gpus, memoryGb: room.memoryGb }]));
+    const zoneUse = new Map(job.zoneUse);
+    const placed: { index: number; room: Room }[] = [];
+    for (const index of job.ready) {
+      let best: Room | undefined;
+      let bestScore = Infinity;
+      for (const room of here) {
+        const free = left.get(room);
+        if (!free || !allowedZone(spec, room.view.zone, zoneUse)) continue;
+        if (!fits(spec, { ...room, ...free })) continue;
+        const s = score(spec, room, 0, job.avoid.has(room.view.id));
+        if (s < bestScore) {
+          best = room;
+          bestScore = s;
+        }
+      }
+      const free = best && left.get(best);
+      if (!best || !free) break;
+      free.cpus -= spec.cpus;
+      free.gpus -= spec.gpus;
+      free.memoryGb -= spec.memoryGb;
+      zoneUse.set(best.view.zone, (zoneUse.get(best.view.zone) ?? 0) + 1);
+      placed.push({ index, room: best });
+    }
+    if (placed.length === job.ready.length) return placed;
+  }
+  return null;
+}
+
+/**
+ * Room for work of higher priority: tasks of lower priority are stopped, those that lose least
+ * first. Returns how many of the missing tasks have room on its way.
+ */
+function preempt(
+  job: PendingJob,
+  missing: number,
+  candidates: readonly Room[],
+  zoneUse: Map<string, number>,
+  stopped: Set<string>,
+  stops: PlannedStop[],
+): number {
+  const { spec } = job;
+  if (spec.kind !== 'service' && spec.priority < Priority.high) return 0;
+  let coming = 0;
+  const rooms = [...candidates].sort((a, b) => b.coming.cpus + b.cpus - (a.coming.cpus + a.cpus));
+  for (const room of rooms) {
+    if (room.view.suspicion > 0 || spec.gpus > 0) continue;
+    while (coming < missing && allowedZone(spec, room.view.zone, zoneUse)) {
+      const victims: Stoppable[] = [];
+      const has = (): boolean =>
+        room.cpus + room.coming.cpus + victims.reduce((sum, task) => sum + task.cpus, 0) + EPSILON >= spec.cpus &&
+        room.memoryGb + room.coming.memoryGb + victims.reduce((sum, task) => sum + task.memoryGb, 0) + EPSILON >=
+          spec.memoryGb;
+      const order = room.view.running
+        .filter((task) => task.priority < spec.priority && !task.stopping && !stopped.has(`${task.job}/${task.index}`))
+        .sort((a, b) => a.priority - b.priority || a.lossS - b.lossS);
+      for (const task of order) {
+        if (has()) break;
+        victims.push(task);
+      }
+      if (!has()) break;
+      for (const task of victims) {
+        stopped.add(`${task.job}/${task.index}`);
+        room.coming.cpus += task.cpus;
+        room.coming.memoryGb += task.memoryGb;
+        stops.push({ job: task.job, index: task.index, machine: room.view.id, forJob: spec.id });
+      }
+      // What is booked now is paid from the free part first, from the coming part for the rest.
+      room.coming.cpus -= Math.max(0, spec.cpus - Math.max(0, room.cpus));
+      room.cpus = Math.max(0, room.cpus - spec.cpus);
+      room.coming.memoryGb -= Math.max(0, spec.memoryGb - Math.max(0, room.memoryGb));
+      room.memoryGb = Math.max(0, room.memoryGb - spec.memoryGb);
+      zoneUse.set(room.view.zone, (zoneUse.get(room.view.zone) ?? 0) + 1);
+      coming += 1;
+    }
+    if (coming >= missing) break;
+  }
+  return coming;
+}
--- /dev/null
+++ b/src/service/http.ts
@@ -0,0 +1,88 @@
+import { createServer, type Server } from 'node:http';
+import express, { type ErrorRequestHandler, type Express, type NextFunction, type Response, type Router } from 'express';
+import type { Logger } from '../kernel/index.js';
+import { parseSubmission } from '../jobs/index.js';
+import type { ReportReply } from '../holder/index.js';
+import { decodeMessage, type WorkerMessage } from '../workers/index.js';
+import type { UserAnswer, UserRequest } from './users.js';
+
+const BODY_LIMIT = 64 * 1024;
+
+export interface Handlers {
+  healthy(): boolean;
+  serve(request: UserRequest): Promise<UserAnswer>;
+  report(message: WorkerMessage): ReportReply;
+}
+
+const send = (res: Response, answer: UserAnswer): void => {
+  if (answer.retryAfterS !== undefined) res.set('Retry-After', String(answer.retryAfterS));
+  res.status(answer.status).json(answer.body);
+};
+
+/** The interface of users, workers and operators. */
+export function createApp(handlers: Handlers, admin: Router, log: Logger): Express {
+  const user = (res: Response, next: NextFunction, request: UserRequest): void => {
+    handlers.serve(request).then((answer) => send(res, answer), next);
+  };
+  const app = express();
+  app.disable('x-powered-by');
+  app.disable('etag');
+  app.get('/healthz', (_req, res) => {
+    if (handlers.healthy()) res.status(200).json({ ok: true });
+    else res.status(503).set('Retry-After', '1').json({ ok: false });
+  });
+  app.use(express.json({ limit: BODY_LIMIT, strict: false, type: () => true }));
+
+  app.post('/v1/report', (req, res) => {
+    const message = decodeMessage(req.body);
+    if (!message) {
+      log.warn('a report of no valid form was refused');
+      res.status(400).json({ error: 'not a report' });
+      return;
+    }
+    const reply = handlers.report(message);
+    res.status(reply.status).json(reply.body);
+  });
+  app.post('/v1/jobs', (req, res, next) => {
+    const parsed = parseSubmission(req.body);
+    if (!parsed.ok) res.status(400).json({ error: parsed.reason });
+    else user(res, next, { op: 'submit', spec: parsed.spec });
+  });
+  app.get('/v1/jobs/:id', (req, res, next) => user(res, next, { op: 'query', id: req.params.id }));
+  app.post('/v1/jobs/:id/cancel', (req, res, next) => user(res, next, { op: 'cancel', id: req.params.id }));
+  app.use('/admin/v1', admin);
+  app.use((_req, res) => {
+    res.status(404).json({ error: 'not found' });
+  });
+  const onError: ErrorRequestHandler = (error: unknown, _req, res, next) => {
+    if (res.headersSent) {
+      next(error);
+      return;
+    }
+    const status = (error as { status?: unknown }).status;
+    const reason = error instanceof Error ? error.message : String(error);
+    // What the body parser refuses is malformed in the users' terms, too long included.
+    if (typeof status === 'number' && status >= 400 && status < 500) res.status(400).json({ error: reason });
+    else {
+      log.error({ err: error }, 'a request failed');
+      res.status(503).set('Retry-After', '1').json({ error: 'cannot serve this now' });
+    }
+  };
+  app.use(onError);
+  return app;
+}
+
+export function listen(app: Express, port: number, host: string, maxConnections: number, log: Logger): Server {
+  const server = createServer(app);
+  server.keepAliveTimeout = 120_000;
+  server.headersTimeout = 125_000;
+  server.requestTimeout = 30_000;
+  server.maxConnections = maxConnections;
+  server.on('error', (error) => log.error({ err: error }, 'the listener failed'));
+  server.on('clientError', (_error, socket) => {
+    if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
+    else socket.destroy();
+  });
+  server.listen(port, host);
+  return server;
+}
--- /dev/null
+++ b/src/service/index.ts
@@ -0,0 +1,1 @@
+export * from './service.js';
--- /dev/null
+++ b/src/service/service.ts
@@ -0,0 +1,400 @@
+import { randomBytes } from 'node:crypto';
+import { adminRouter, SettingsStore } from '../admin/index.js';
+import { CloudClient, type MachineType } from '../cloud/index.js';
+import type { Settings } from '../config/index.js';
+import { ShardHolder, type HolderDeps, type ReportReply } from '../holder/index.js';
+import { JobRegistry, type JobSpec } from '../jobs/index.js';
+import {
+  incarnation,
+  ReconcileLoop,
+  shardName,
+  sleep,
+  systemClock,
+  type JobId,
+  type Logger,
+  type NodeName,
+  type ShardName,
+} from '../kernel/index.js';
+import { bookRoom, chooseShard, Leader, roomFor } from '../leasing/index.js';
+import { decodeShard, Membership } from '../membership/index.js';
+import { PeerLink, type PeerMessage, type Received, type ShardSummary } from '../peers/index.js';
+import { JOBS, LIVE, Mirror, shardKey, SHARDS, StateClient, TYPES, Urgency, type Change } from '../state/index.js';
+import { encodeRedirect, type WorkerMessage } from '../workers/index.js';
+import { createApp, listen } from './http.js';
+import { UserDesk } from './users.js';
+
+const SUMMARY_EVERY_MS = 500;
+const SUMMARY_VALID_MS = 5000;
+const HAND_BACK_AFTER_MS = 3000;
+
+/** One controller: all slices put together. */
+export class Service {
+  private readonly clock = systemClock;
+  private readonly incarnation = incarnation(randomBytes(8).toString('hex'));
+  private readonly state: StateClient;
+  private readonly mirror: Mirror;
+  private readonly cloud: CloudClient;
+  private readonly peers: PeerLink;
+  private readonly membership: Membership;
+  private readonly registry: JobRegistry;
+  private readonly settingsStore: SettingsStore;
+  private readonly desk: UserDesk;
+  private readonly leader: Leader;
+  private readonly holders = new Map<ShardName, ShardHolder>();
+  private readonly summaries = new Map<ShardName, { summary: ShardSummary; at: number }>();
+  private readonly ousted = new Map<ShardName, number>();
+  private readonly homeSince = new Map<ShardName, number>();
+  private readonly ownShard: ShardName;
+  private types = new Map<string, MachineType>();
+  private readonly rounds: ReconcileLoop;
+
+  constructor(
+    private readonly settings: Settings,
+    private readonly log: Logger,
+  ) {
+    const { clock } = this;
+    this.ownShard = shardName(settings.node);
+    this.state = new StateClient(settings.state, settings.stateLimits, log, clock);
+    this.state.writers = 2;
+    this.mirror = new Mirror(this.state, LIVE, log);
+    this.cloud = new CloudClient(settings.cloud, settings.cloudLimits.rps, log, clock);
+    this.peers = new PeerLink(
+      settings.node,
+      this.incarnation,
+      settings.peerOn,
+      settings.seeds,
+      () => this.state.available && this.mirror.loaded,
+      clock,
+      log,
+    );
+    this.membership = new Membership(
+      settings.node,
+      settings.seeds.map((seed) => seed.node),
+      this.incarnation,
+      this.state,
+      this.mirror,
+      { held: () => [...this.holders.keys()], verify: () => this.verifyShards() },
+      clock,
+      log,
+    );
+    this.registry = new JobRegistry(
+      this.state,
+      this.mirror,
+      settings.teams,
+      {
+        types: () => (this.types.size > 0 ? [...this.types.values()] : null),
+        chooseShard: (spec) => this.chooseShard(spec),
+        running: (id) => this.runningOf(id),
+        cancelled: (id) => this.peers.broadcast({ kind: 'cancelled', job: id }),
+      },
+      clock,
+      log,
+    );
+    this.settingsStore = new SettingsStore(this.state, this.mirror);
+    this.desk = new UserDesk(
+      this.registry,
+      this.peers,
+      () => this.mirror.loaded,
+      () => this.state.available,
+    );
+    this.leader = new Leader({
+      self: settings.node,
+      state: this.state,
+      mirror: this.mirror,
+      cloud: this.cloud,
+      clock,
+      log,
+      listLagMs: settings.cloudLimits.listLagMs,
+      leading: () => this.membership.leading,
+      summaries: () => this.currentSummaries(),
+      types: () => this.types,
+      tell: (node, message) => this.tell(node, message),
+    });
+    this.rounds = new ReconcileLoop('holders', 250, log, () => {
+      for (const holder of this.holders.values()) holder.round();
+    });
+  }
+
+  start(): void {
+    const { log, settings } = this;
+    this.mirror.changes.subscribe((change) => this.onChange(change));
+    this.peers.received.subscribe((received) => this.onPeer(received));
+    this.peers.start();
+    const admin = adminRouter(this.settingsStore, () => this.status());
+    const app = createApp(
+      {
+        healthy: () => this.healthy(),
+        serve: (request) => this.desk.serve(request),
+        report: (message) => this.onReport(message),
+      },
+      admin,
+      log,
+    );
+    const sockets = Math.max(50, Math.floor(settings.maxConnections * 0.7));
+    listen(app, settings.serveOn.port, settings.serveOn.host, sockets, log);
+    void this.mirror.run();
+    void this.learnTypes();
+    this.rounds.start();
+    new ReconcileLoop('session', this.membership.renewEveryMs, log, () => this.membership.keep()).start();
+    void this.membership.keep();
+    new ReconcileLoop('claims', 200, log, async () => {
+      if (!this.mirror.loaded) return;
+      await this.membership.elect();
+      await this.membership.claim();
+      await this.reviewShards();
+    }).start();
+    new ReconcileLoop('leader', 400, log, () => this.leader.round()).start();
+    new ReconcileLoop('summaries', SUMMARY_EVERY_MS, log, () => this.publish()).start();
+    log.info({ serve: settings.serveOn, incarnation: this.incarnation }, 'wooddrift is up');
+  }
+
+  private healthy(): boolean {
+    if (!this.mirror.loaded || !this.membership.registered) return false;
+    if (this.state.available) return true;
+    // In an outage that hits all, nodes stay healthy: coming back after a removal is slow.
+    return !this.peers.names.some((node) => this.peers.statusOf(node)?.stateOk === true);
+  }
+
+  // ---- shards
+
+  private onChange(change: Change): void {
+    if (change.key.startsWith(JOBS)) {
+      for (const holder of this.holders.values()) holder.onJob(change);
+    } else if (change.key.startsWith(SHARDS)) this.onShard(change);
+    else if (change.key === TYPES && Array.isArray(change.value)) this.takeTypes(change.value as MachineType[]);
+  }
+
+  private onShard(change: Change): void {
+    const shard = shardName(change.key.slice(SHARDS.length));
+    const value = change.removed ? null : decodeShard(change.value);
+    const mine =
+      value !== null &&
+      value.holder === this.settings.node &&
+      value.incarnation === this.incarnation &&
+      !value.released &&
+      change.version >= (this.ousted.get(shard) ?? 0);
+    const holder = this.holders.get(shard);
+    if (!mine) {
+      if (holder) this.dropShard(shard, holder);
+    } else if (holder) holder.onShard(value, change.version);
+    else {
+      const previous = this.membership.previousOf(shard);
+      this.holders.set(shard, new ShardHolder(shard, change.version, value, previous, this.holderDeps()));
+      this.rounds.nudge();
+    }
+  }
+
+  private dropShard(shard: ShardName, holder: ShardHolder): void {
+    this.log.info({ shard }, 'this node holds the shard no more');
+    holder.drop();
+    this.holders.delete(shard);
+    this.summaries.delete(shard);
+  }
+
+  private holderDeps(): HolderDeps {
+    return {
+      self: this.settings.node,
+      settings: this.settings,
+      state: this.state,
+      mirror: this.mirror,
+      registry: this.registry,
+      clock: this.clock,
+      log: this.log,
+      types: () => this.types,
+      operator: () => this.settingsStore.current,
+      heldUntil: () => this.membership.heldUntilAtLeast,
+      nudge: () => this.rounds.nudge(),
+      roomElsewhere: (spec, count) => this.roomElsewhere(spec, count),
+    };
+  }
+
+  private async verifyShards(): Promise<void> {
+    for (const shard of this.holders.keys()) {
+      const read = await this.state.get(shardKey(shard));
+      if (read.kind !== 'found') continue;
+      const { key, value, version } = read.entry;
+      this.mirror.apply({ key, value, removed: false, version });
+    }
+  }
+
+  private async reviewShards(): Promise<void> {
+    const now = this.clock.now();
+    for (const [shard, holder] of this.holders) {
+      if (holder.awaitsProof && holder.previous) {
+        const { node, incarnation: life } = holder.previous;
+        const heard = this.peers.statusOf(node)?.incarnation ?? this.membership.alive(node);
+        // A later life of that node proves that the earlier one has ended.
+        if (heard !== null && heard !== life) holder.proven();
+        else this.peers.send(node, { kind: 'standdown', shard, version: holder.claimedAt });
+      }
+      if (shard === this.ownShard) continue;
+      const home = shard as unknown as NodeName;
+      const life = this.membership.alive(home);
+      const up = life !== null && this.peers.statusOf(home)?.stateOk === true;
+      if (!up) this.homeSince.delete(shard);
+      else {
+        const since = this.homeSince.get(shard) ?? now;
+        this.homeSince.set(shard, since);
+        if (now - since > HAND_BACK_AFTER_MS && (await holder.handBack())) this.homeSince.delete(shard);
+      }
+    }
+  }
+
+  // ---- workers
+
+  private onReport(message: WorkerMessage): ReportReply {
+    for (const holder of this.holders.values()) {
+      if (holder.machines.has(message.machine)) return holder.onReport(message);
+    }
+    for (const entry of this.mirror.under(SHARDS)) {
+      const value = decodeShard(entry.value);
+      if (!value?.machines.some((m) => m.id === message.machine)) continue;
+      return { status: 421, body: encodeRedirect(value.holder === this.settings.node ? null : value.holder) };
+    }
+    if (this.membership.leading !== null) {
+      this.leader.noteUp(message);
+      return { status: 421, body: encodeRedirect(null) };
+    }
+    const { leader } = this.membership;
+    return { status: 421, body: encodeRedirect(leader === this.settings.node ? null : leader) };
+  }
+
+  // ---- peers
+
+  private onPeer({ from, message }: Received): void {
+    switch (message.kind) {
+      case 'summary':
+        this.summaries.set(message.summary.shard, { summary: message.summary, at: this.clock.now() });
+        break;
+      case 'cancelled':
+        for (const holder of this.holders.values()) void holder.onCancelled(message.job);
+        break;
+      case 'transfer':
+        for (const holder of this.holders.values()) holder.transfer(message.machine, message.to);
+        break;
+      case 'ask':
+        void this.desk.onAsk(message.op, message.body).then((answer) => {
+          this.peers.send(from, { kind: 'answer', id: message.id, ...answer });
+        });
+        break;
+      case 'standdown': {
+        const holder = this.holders.get(message.shard);
+        if (holder && holder.claimedAt >= message.version) break;
+        this.ousted.set(message.shard, message.version);
+        if (holder) this.dropShard(message.shard, holder);
+        this.peers.send(from, { kind: 'stooddown', shard: message.shard, version: message.version });
+        break;
+      }
+      case 'stooddown': {
+        const holder = this.holders.get(message.shard);
+        if (holder?.claimedAt === message.version && holder.previous?.node === from) holder.proven();
+        break;
+      }
+      case 'hello':
+      case 'answer':
+        break;
+    }
+  }
+
+  private tell(node: NodeName, message: PeerMessage): void {
+    if (node === this.settings.node) this.onPeer({ from: node, message });
+    else this.peers.send(node, message);
+  }
+
+  private publish(): void {
+    for (const [shard, holder] of this.holders) {
+      const summary = holder.summary();
+      this.summaries.set(shard, { summary, at: this.clock.now() });
+      this.peers.broadcast({ kind: 'summary', summary });
+    }
+  }
+
+  private currentSummaries(): ShardSummary[] {
+    const now = this.clock.now();
+    const current: ShardSummary[] = [];
+    for (const { summary, at } of this.summaries.values()) if (now - at < SUMMARY_VALID_MS) current.push(summary);
+    return current;
+  }
+
+  // ---- jobs
+
+  private chooseShard(spec: JobSpec): ShardName | null {
+    const shards = this.membership.shards;
+    const team = this.settings.teams.get(spec.team);
+    if (team && (team.cpusMax > 0 || team.gpusMax > 0)) {
+      // One shard keeps a limited team's whole account, so that no limit is ever shared.
+      const sum = [...spec.team].reduce((s, c) => (s * 31 + c.charCodeAt(0)) >>> 0, 7);
+      return shards[sum % shards.length] ?? null;
+    }
+    const own = this.holders.has(this.ownShard) ? this.ownShard : ([...this.holders.keys()][0] ?? null);
+    const chosen = chooseShard(spec, this.currentSummaries(), this.types, own);
+    const entry = chosen === null ? undefined : this.summaries.get(chosen);
+    if (chosen !== null && entry) this.summaries.set(chosen, { ...entry, summary: bookRoom(spec, entry.summary) });
+    return chosen;
+  }
+
+  private roomElsewhere(spec: JobSpec, count: number): ShardName | null {
+    const team = this.settings.teams.get(spec.team);
+    if (team && (team.cpusMax > 0 || team.gpusMax > 0)) return null;
+    let best: { shard: ShardName; slots: number } | null = null;
+    for (const summary of this.currentSummaries()) {
+      if (this.holders.has(summary.shard) && summary.holder !== this.settings.node) continue;
+      const room = roomFor(spec, summary, this.types);
+      if (room.slots >= Math.min(count, spec.tasks) && room.slots > (best?.slots ?? 0)) {
+        best = { shard: summary.shard, slots: room.slots };
+      }
+    }
+    if (!best) return null;
+    const entry = this.summaries.get(best.shard);
+    if (entry) this.summaries.set(best.shard, { ...entry, summary: bookRoom(spec, entry.summary) });
+    return best.shard;
+  }
+
+  private runningOf(id: JobId): { running: number; done: number } {
+    for (const holder of this.holders.values()) {
+      const seen = holder.runningOf(id);
+      if (seen) return seen;
+    }
+    for (const { summary } of this.summaries.values()) {
+      const found = summary.running.find((r) => r.job === id);
+      if (found) return { running: found.running, done: 0 };
+    }
+    return { running: 0, done: 0 };
+  }
+
+  // ---- machine types
+
+  private takeTypes(types: readonly MachineType[]): void {
+    this.types = new Map(types.map((t) => [t.name, t]));
+    this.rounds.nudge();
+  }
+
+  /** The first node that learns the types stores them: others start without the cloud. */
+  private async learnTypes(): Promise<void> {
+    for (;;) {
+      const known = this.types.size > 0;
+      const due = !known || this.membership.leading !== null;
+      if (due && this.mirror.loaded && (this.types.size === 0 || this.cloud.mayCall())) {
+        const types = await this.cloud.types();
+        if (types) {
+          this.takeTypes(types);
+          const stored = this.mirror.get(TYPES);
+          if (JSON.stringify(stored?.value) !== JSON.stringify(types)) {
+            await this.state.txn(Urgency.progress, [{ key: TYPES, version: stored?.version ?? 0 }], [{ put: TYPES, value: types }]);
+          }
+        }
+      }
+      await sleep(this.types.size > 0 ? 30_000 : 500);
+    }
+  }
+
+  private status(): unknown {
+    return {
+      node: this.settings.node,
+      incarnation: this.incarnation,
+      leader: this.membership.leader,
+      stateAvailable: this.state.available,
+      shards: [...this.holders.values()].map((holder) => holder.summary()),
+    };
+  }
+}
--- /dev/null
+++ b/src/speculation/index.ts
@@ -0,0 +1,1 @@
+export * from './threshold.js';
--- /dev/null
+++ b/src/state/index.ts
@@ -0,0 +1,4 @@
+export * from './client.js';
+export * from './keys.js';
+export * from './mirror.js';
+export type { Change, Entry, Guard, Op } from './wire.js';
--- /dev/null
+++ b/src/state/wire.ts
@@ -0,0 +1,100 @@
+import { asCount, asList, asString, isObject, revision, type Revision } from '../kernel/index.js';
+
+/** The state service's own words, and nothing else, live here. */
+export interface Entry {
+  readonly key: string;
+  readonly value: unknown;
+  readonly version: Revision;
+}
+
+export interface Change {
+  readonly key: string;
+  /** undefined: the key was removed. */
+  readonly value: unknown;
+  readonly removed: boolean;
+  readonly version: Revision;
+}
+
+export interface Guard {
+  readonly key: string;
+  /** 0: the key must not exist. */
+  readonly version: number;
+}
+
+export type Op =
+  | { readonly put: string; readonly value: unknown; readonly lease?: number }
+  | { readonly remove: string };
+
+export function encodeTxn(guards: readonly Guard[], ops: readonly Op[]): unknown {
+  return {
+    guards: guards.map((g) => ({ path: g.key, stamp: g.version })),
+    writes: ops.map((op) =>
+      'put' in op
+        ? { write: op.put, value: op.value, ...(op.lease === undefined ? {} : { mooring: op.lease }) }
+        : { remove: op.remove },
+    ),
+  };
+}
+
+export function decodeEntry(body: unknown): Entry | null {
+  if (!isObject(body)) return null;
+  const key = asString(body['path']);
+  const stamp = asCount(body['stamp']);
+  if (key === undefined || stamp === undefined) return null;
+  return { key, value: body['value'], version: revision(stamp) };
+}
+
+export function decodeRevision(body: unknown): Revision | null {
+  const epoch = isObject(body) ? asCount(body['epoch']) : undefined;
+  return epoch === undefined ? null : revision(epoch);
+}
+
+export function decodeList(body: unknown): { entries: Entry[]; more: boolean; revision: Revision } | null {
+  const at = decodeRevision(body);
+  if (at === null || !isObject(body)) return null;
+  const entries: Entry[] = [];
+  for (const item of asList(body['entries'])) {
+    const entry = decodeEntry(item);
+    if (entry === null) return null;
+    entries.push(entry);
+  }
+  return { entries, more: body['truncated'] === true, revision: at };
+}
+
+export function decodeLog(body: unknown): { changes: Change[]; revision: Revision } | null {
+  const at = decodeRevision(body);
+  if (at === null || !isObject(body)) return null;
+  const changes: Change[] = [];
+  for (const item of asList(body['log'])) {
+    if (!isObject(item)) return null;
+    const stamp = asCount(item['stamp']);
+    const put = asString(item['write']);
+    const removed = asString(item['remove']);
+    if (stamp === undefined || (put === undefined && removed === undefined)) return null;
+    changes.push({
+      key: put ?? removed ?? '',
+      value: item['value'],
+      removed: put === undefined,
+      version: revision(stamp),
+    });
+  }
+  return { changes, revision: at };
+}
+
+export const encodeLease = (ttlMs: number): unknown => ({ life_ms: Math.round(ttlMs) });
+
+export function decodeLease(body: unknown): number | null {
+  const id = isObject(body) ? asCount(body['mooring']) : undefined;
+  return id ?? null;
+}
+
+export const paths = {
+  get: (key: string): string => `/store/${key}`,
+  list: (prefix: string, after: string): string =>
+    `/store?under=${encodeURIComponent(prefix)}&most=500${after === '' ? '' : `&after=${encodeURIComponent(after)}`}`,
+  follow: (prefix: string, after: number, waitMs: number): string =>
+    `/follow?under=${encodeURIComponent(prefix)}&after=${after}&wait_ms=${waitMs}`,
+  txn: '/txn',
+  leases: '/leases',
+  renew: (id: number): string => `/leases/${id}/extend`,
+};
--- /dev/null
+++ b/src/workers/belief.ts
@@ -0,0 +1,146 @@
+import {
+  millis,
+  sequence,
+  session,
+  token,
+  withDrift,
+  type Attempt,
+  type Millis,
+  type Revision,
+  type Sequence,
+  type Session,
+  type TaskKey,
+  type Token,
+} from '../kernel/index.js';
+import type { ListedTask, WorkerMessage } from './wire.js';
+
+/** Local bumps between two revisions of the shard key. */
+export const BUMPS = 2 ** 20;
+
+/** Revisions only grow, so whoever holds a machine later has the higher token. */
+export const tokenOf = (base: Revision, bump: number): Token => token(base * BUMPS + bump);
+
+interface Start {
+  readonly attempt: Attempt;
+  readonly token: Token;
+  readonly session: Session;
+}
+
+export type Verdict = 'taken' | 'stale' | 'superseded';
+
+/**
+ * What may be on one machine. A start is possibly there from before it is sent until a newer
+ * message, an acknowledged higher token, a new session or the machine's end settles it. Pure: no
+ * clock, no network; compared with a slow model under random interleavings.
+ */
+export class MachineBelief {
+  private bump = 0;
+  private listing = new Map<TaskKey, ListedTask>();
+  private readonly starts = new Map<TaskKey, Start>();
+  private acked = token(0);
+  private at: { session: Session; sequence: Sequence } = { session: session(0), sequence: sequence(0) };
+  private expired = session(0);
+  /** The latest moment at which this holder, or an earlier one, can have renewed the worker's lease. */
+  lastAnswerAt: Millis;
+  lastHeardAt: Millis;
+
+  constructor(
+    private base: Revision,
+    now: Millis,
+  ) {
+    this.lastAnswerAt = now;
+    this.lastHeardAt = millis(now);
+  }
+
+  get token(): Token {
+    return tokenOf(this.base, this.bump);
+  }
+
+  get session(): Session {
+    return this.at.session;
+  }
+
+  /** True once the worker has shown our present token: nothing older can be executed any more. */
+  get fenced(): boolean {
+    return this.acked === this.token;
+  }
+
+  get heard(): boolean {
+    return this.at.session > 0;
+  }
+
+  get tasks(): ReadonlyMap<TaskKey, ListedTask> {
+    return this.listing;
+  }
+
+  get pendingStarts(): ReadonlyMap<TaskKey, Start> {
+    return this.starts;
+  }
+
+  /** May this task be on the machine? Exited tasks are not. */
+  possibly(key: TaskKey): boolean {
+    if (this.starts.has(key)) return true;
+    const listed = this.listing.get(key);
+    return listed !== undefined && listed.state !== 'exited';
+  }
+
+  get empty(): boolean {
+    if (this.starts.size > 0) return false;
+    for (const listed of this.listing.values()) if (listed.state !== 'exited') return false;
+    return true;
+  }
+
+  noteStart(key: TaskKey, attempt: Attempt): void {
+    this.starts.set(key, { attempt, token: this.token, session: this.at.session });
+  }
+
+  /** The command with these starts was answered: what the worker lists now is all there is of them. */
+  settleStarts(keys: readonly TaskKey[]): void {
+    for (const key of keys) this.starts.delete(key);
+  }
+
+  /** A command's fate is unknown. It may be executed minutes later unless a higher token comes first. */
+  raiseToken(): void {
+    this.bump += 1;
+  }
+
+  take(message: WorkerMessage, now: Millis): Verdict {
+    if (message.token > this.token) return 'superseded';
+    if (message.session <= this.expired) return 'stale';
+    if (message.session < this.at.session) return 'stale';
+    if (message.session === this.at.session && message.sequence <= this.at.sequence) return 'stale';
+    this.at = { session: message.session, sequence: message.sequence };
+    this.acked = message.token;
+    this.lastHeardAt = now;
+    this.listing = new Map(message.tasks.map((task) => [task.key, task]));
+    for (const [key, start] of this.starts) {
+      const listed = this.listing.get(key);
+      const settled =
+        (listed !== undefined && listed.attempt === start.attempt) ||
+        message.token > start.token ||
+        message.session > start.session;
+      if (settled) this.starts.delete(key);
+    }
+    return 'taken';
+  }
+
+  answered(now: Millis): void {
+    if (now > this.lastAnswerAt) this.lastAnswerAt = now;
+  }
+
+  /** From when on the worker has killed all its tasks, if nobody else could answer it meanwhile. */
+  expiresAt(leaseMs: number): Millis {
+    return millis(this.lastAnswerAt + withDrift(leaseMs) + 250);
+  }
+
+  /** The worker's lease is over: everything there is gone, and commands for its session are void. */
+  expire(): void {
+    this.listing.clear();
+    this.starts.clear();
+    this.expired = this.at.session;
+  }
+
+  forget(key: TaskKey): void {
+    if (this.listing.get(key)?.state === 'exited') this.listing.delete(key);
+  }
+}
--- /dev/null
+++ b/src/workers/courier.ts
@@ -0,0 +1,103 @@
+import { HttpClient, parseAddress, type Millis, type Clock, type Logger, type MachineId } from '../kernel/index.js';
+import type { MachineBelief } from './belief.js';
+import { decodeMessage, encodeCommands, type Order, type WorkerMessage } from './wire.js';
+
+const TIMEOUT_MS = 2500;
+const MAX_ORDERS = 200;
+
+export interface CourierHooks {
+  /** A newer message was taken in. */
+  heard(message: WorkerMessage): void;
+  superseded(): void;
+}
+
+/** Direct commands to one worker: one request at a time, so that their order is plain. */
+export class Courier {
+  private client: HttpClient | undefined;
+  private busy = false;
+  private address = '';
+  private failedAt: Millis | undefined;
+  failures = 0;
+
+  constructor(
+    readonly machine: MachineId,
+    private readonly belief: MachineBelief,
+    private readonly clock: Clock,
+    private readonly log: Logger,
+    private readonly hooks: CourierHooks,
+  ) {}
+
+  get idle(): boolean {
+    return !this.busy;
+  }
+
+  get reachable(): boolean {
+    return this.client !== undefined;
+  }
+
+  get knownAddress(): string {
+    return this.address;
+  }
+
+  /** May be called again after a failure only after a short pause. */
+  ready(): boolean {
+    if (this.busy || !this.client) return false;
+    if (this.failedAt === undefined) return true;
+    return this.clock.now() - this.failedAt > Math.min(2000, 200 * 2 ** Math.min(4, this.failures));
+  }
+
+  setAddress(text: string): void {
+    if (text === this.address) return;
+    const address = parseAddress(text);
+    if (!address) return;
+    this.client?.close();
+    this.address = text;
+    this.client = new HttpClient(address, 1);
+  }
+
+  close(): void {
+    this.client?.close();
+    this.client = undefined;
+  }
+
+  /** Sends orders. Starts must have been noted in the belief before. */
+  async send(orders: readonly Order[]): Promise<void> {
+    const client = this.client;
+    if (!client || this.busy) return;
+    const batch = orders.slice(0, MAX_ORDERS);
+    const starts = batch.filter((o) => o.op === 'start').map((o) => o.key);
+    this.busy = true;
+    try {
+      const answer = await client.call({
+        method: 'POST',
+        path: '/commands',
+        body: encodeCommands(this.belief.token, this.belief.session, batch),
+        timeoutMs: TIMEOUT_MS,
+      });
+      const message = answer.kind === 'answered' ? decodeMessage(answer.body) : null;
+      if (answer.kind === 'failed' || !message || (answer.status !== 200 && answer.status !== 409)) {
+        this.failures += 1;
+        this.failedAt = this.clock.now();
+        const reason = answer.kind === 'failed' ? answer.reason : `status ${answer.status}`;
+        this.log.debug({ machine: this.machine, reason, starts: starts.length }, 'a command got no answer');
+        // It may be executed minutes later: only a higher token that is acknowledged makes it void.
+        if (starts.length > 0) this.belief.raiseToken();
+        return;
+      }
+      this.failures = 0;
+      this.failedAt = undefined;
+      if (message.machine !== this.machine) {
+        this.log.warn({ machine: this.machine, says: message.machine }, 'another worker answers at this address');
+        if (starts.length > 0) this.belief.raiseToken();
+        return;
+      }
+      const verdict = this.belief.take(message, this.clock.now());
+      // Answered: executed as a whole (200) or not at all (409), so these starts are settled.
+      this.belief.settleStarts(starts);
+      if (verdict === 'superseded') this.hooks.superseded();
+      else this.hooks.heard(message);
+    } finally {
+      this.busy = false;
+    }
+  }
+}
--- /dev/null
+++ b/src/workers/index.ts
@@ -0,0 +1,12 @@
+export * from './belief.js';
+export * from './courier.js';
+export {
+  decodeMessage,
+  encodeRedirect,
+  encodeReply,
+  type ExitWhy,
+  type ListedTask,
+  type Order,
+  type TaskState,
+  type WorkerMessage,
+} from './wire.js';
