--- a/src/holder/holder.ts
+++ b/src/holder/holder.ts
@@ -280,7 +280,21 @@
         }
       }
     }
-    if (!machine.belief.empty) machine.emptySince = now;
+    if (this.inUse(machine)) machine.emptySince = now;
+  }
+
+  /** A machine with accelerators is idle while nothing uses them, whatever else fills its cpus. */
+  private inUse(machine: HeldMachine): boolean {
+    const gpus = this.deps.types().get(machine.info.type)?.gpus ?? 0;
+    if (gpus <= 0) return !machine.belief.empty;
+    if (machine.belief.pendingStarts.size > 0) return true;
+    for (const [key, listed] of machine.belief.tasks) {
+      if (listed.state === 'exited') continue;
+      const parsed = parseTaskKey(key);
+      const spec = parsed ? this.specOf(parsed.job) : null;
+      if (!spec || spec.gpus > 0) return true;
+    }
+    return false;
   }
 
   private onState(machine: HeldMachine, run: JobRun, active: ActiveTask, listed: ListedTask, now: Millis): void {
@@ -339,9 +353,9 @@
     }
   }
 
-  private stop(run: JobRun, active: ActiveTask, reason: StopReason): void {
+  private stop(run: JobRun, active: ActiveTask, reason: StopReason, graceS = run.graceS): void {
     if (active.stopping) return;
-    const graceS = reason === 'cancelled' || reason === 'regroup' ? 0 : run.graceS;
+    if (reason === 'cancelled' || reason === 'regroup') graceS = 0;
     active.stopping = { reason, since: this.deps.clock.now(), graceS };
     this.deps.log.debug({ job: run.id, index: active.index, machine: active.machine, reason }, 'a task is to be stopped');
   }
@@ -572,6 +586,11 @@
   }
 
   private usable(machine: HeldMachine, now: Millis): boolean {
+    return now >= machine.coolUntil && machine.courier.ready() && this.sound(machine, now);
+  }
+
+  /** May take new tasks, but for a command that is just on its way. */
+  private sound(machine: HeldMachine, now: Millis): boolean {
     const { belief } = machine;
     const operator = this.deps.operator();
     return (
@@ -580,8 +599,7 @@
       !machine.lost &&
       !machine.leaving &&
       machine.noticeUntil === null &&
-      now >= machine.coolUntil &&
-      machine.courier.ready() &&
+      machine.courier.failures === 0 &&
       now - belief.lastHeardAt < 2.5 * this.deps.settings.workers.reportMs + 500 &&
       !machine.faulty(now) &&
       !operator.cordoned.has(machine.id) &&
@@ -611,7 +629,7 @@
         cpus: run.spec.cpus,
         gpus: run.spec.gpus,
         memoryGb: run.spec.memoryGb,
-        lossS: run.spec.checkpointS > 0 ? run.spec.saveS : ranS,
+        lossS: run.spec.checkpointS > 0 ? Math.min(ranS, run.spec.checkpointS / 2) : ranS,
         stopping: run.ended || active?.stopping != null,
       });
     }
@@ -710,7 +728,7 @@
       const active = run?.active.get(stop.index);
       if (!run || !active || active.stopping) continue;
       this.deps.log.info({ job: stop.job, index: stop.index, machine: stop.machine, for: stop.forJob }, 'preempting a task');
-      this.stop(run, active, 'preempted');
+      this.stop(run, active, 'preempted', stop.atOnce ? 0 : run.graceS);
     }
     const gangAttempts = new Map<JobId, Attempt>();
     for (const start of plan.starts) {
@@ -799,7 +817,12 @@
       if (order.op === 'start') belief.noteStart(order.key, order.attempt);
       else machine.stopSentAt.set(order.key, now);
     }
-    if (orders.some((o) => o.op === 'start')) machine.emptySince = now;
+    const startsUse = (o: Order): boolean => {
+      if (o.op !== 'start') return false;
+      const gpus = this.deps.types().get(machine.info.type)?.gpus ?? 0;
+      return gpus <= 0 || (this.specOf(parseTaskKey(o.key)?.job ?? jobId(''))?.gpus ?? 1) > 0;
+    };
+    if (orders.some(startsUse)) machine.emptySince = now;
     void courier.send(orders);
   }
 
@@ -809,7 +832,12 @@
   transfer(id: MachineId, to: ShardName | null): void {
     const machine = this.machines.get(id);
     if (!machine || machine.leaving) return;
+    if (!machine.belief.empty && (to !== null || this.inUse(machine))) return;
     machine.leaving = { to, since: this.deps.clock.now() };
+    // Idle accelerators are given back although their cpus are lent out: that work saves and moves.
+    for (const run of this.jobs.values()) {
+      for (const active of run.active.values()) if (active.machine === id) this.stopWithMates(run, active, 'drain');
+    }
     this.deps.nudge();
   }
 
@@ -911,7 +939,6 @@
         machine.courier.failures >= 2 &&
         silentMs > 2.5 * this.deps.settings.workers.reportMs + 2500 &&
         heardLately * 2 > this.machines.size;
-      const cooling = !machine.courier.idle || now < machine.coolUntil;
       machines.push({
         id: machine.id,
         type: machine.info.type,
@@ -920,9 +947,10 @@
         freeCpus: view?.freeCpus ?? 0,
         freeGpus: view?.freeGpus ?? 0,
         freeMemoryGb: view?.freeMemoryGb ?? 0,
-        idleMs: machine.belief.empty ? now - machine.emptySince : 0,
+        idleMs: this.inUse(machine) ? 0 : now - machine.emptySince,
         empty: machine.belief.empty,
-        usable: view !== null && (view.usable || (cooling && machine.belief.fenced && !machine.leaving && machine.noticeUntil === null)),
+        // Others send jobs and machines by this: what is only said to be usable makes jobs go in circles.
+        usable: view !== null && this.sound(machine, now),
         lost: machine.lost || dead,
         faulty: machine.faulty(now),
         images: machine.imageList,
--- a/src/leasing/leader.ts
+++ b/src/leasing/leader.ts
@@ -46,6 +46,8 @@
   private readonly refused = new Map<string, Millis>();
   private readonly asked = new Map<MachineId, Millis>();
   private readonly releasing = new Map<MachineId, Millis>();
+  /** Deleted for certain. Lists lag: what they still show of these is past. */
+  private readonly gone = new Set<MachineId>();
   private term: Revision | null = null;
   private listAt = millis(-1e9);
   private requests = 0;
@@ -74,6 +76,12 @@
     return known;
   }
 
+  private bury(id: MachineId): void {
+    this.known.delete(id);
+    this.gone.add(id);
+    if (this.gone.size > 2000) this.gone.delete([...this.gone][0] ?? id);
+  }
+
   private shards(): Map<ShardName, { value: ShardValue; version: Revision }> {
     const shards = new Map<ShardName, { value: ShardValue; version: Revision }>();
     for (const entry of this.deps.mirror.under(SHARDS)) {
@@ -177,6 +185,7 @@
       const listed = new Set<MachineId>();
       for (const r of rentals) {
         listed.add(r.id);
+        if (this.gone.has(r.id)) continue;
         const known = this.learn(r.id, r.type, r.zone, r.spot, millis(at - r.ageS * 1000));
         known.rentedAt = millis(Math.min(known.rentedAt, at - r.ageS * 1000));
         known.listedAt = at;
@@ -235,7 +244,7 @@
     if (!(await this.deps.cloud.giveBack(ids))) return;
     this.deps.log.info({ machines: ids }, 'gave back machines that were lost or faulty');
     for (const id of ids) {
-      this.known.delete(id);
+      this.bury(id);
       this.asked.set(id, now);
     }
     await this.takeOut(new Set(ids));
@@ -292,7 +301,7 @@
     if (!(await this.deps.cloud.giveBack(batch))) return;
     this.deps.log.info({ machines: batch }, 'gave machines back');
     for (const id of batch) {
-      this.known.delete(id);
+      this.bury(id);
       this.releasing.delete(id);
     }
   }
--- a/src/leasing/plan.ts
+++ b/src/leasing/plan.ts
@@ -1,7 +1,7 @@
 import type { MachineType } from '../cloud/index.js';
 import type { JobSpec } from '../jobs/index.js';
 import type { JobId, MachineId, ShardName } from '../kernel/index.js';
-import { allowedKind } from '../placement/index.js';
+import { allowedKind, mayBorrow } from '../placement/index.js';
 import type { MachineSummary, ShardSummary } from '../peers/index.js';
 
 const EPSILON = 1e-6;
@@ -82,7 +82,7 @@
 function take(want: Want, s: Supply): number {
   if (!allowedKind(want.spec, { type: s.type.name, zone: s.zone, spot: s.spot })) return 0;
   // Accelerators are kept for work that needs them.
-  if (want.spec.gpus <= 0 && s.gpus > EPSILON) return 0;
+  if (want.spec.gpus <= 0 && s.gpus > EPSILON && !mayBorrow(want.spec)) return 0;
   const slots = Math.min(want.slots, slotsIn(want.spec, s));
   s.cpus -= slots * want.spec.cpus;
   s.gpus -= slots * want.spec.gpus;
@@ -137,14 +137,15 @@
   // Idle machines follow the demand.
   const idle: { machine: MachineSummary; shard: ShardSummary }[] = [];
   for (const shard of input.shards) {
-    for (const machine of shard.machines) if (machine.empty && machine.usable && !machine.lost && !machine.faulty) idle.push({ machine, shard });
+    for (const machine of shard.machines) if (machine.idleMs > 0 && machine.usable && !machine.lost && !machine.faulty) idle.push({ machine, shard });
   }
   const stillIdle: typeof idle = [];
   for (const entry of idle) {
     const type = input.types.get(entry.machine.type);
     if (!type) continue;
     const supply = supplyOf(type, entry.machine.zone, entry.machine.spot);
-    if (entry.machine.idleMs < 300) {
+    if (entry.machine.idleMs < 300 || !entry.machine.empty) {
+      if (!entry.machine.empty) stillIdle.push(entry);
       serve(wants, supply, entry.shard.shard);
       continue;
     }
@@ -216,7 +217,7 @@
   for (const want of wants) {
     if (want.slots <= 0 || want.shard === null) continue;
     if (!allowedKind(want.spec, { type: supply.type.name, zone: supply.zone, spot: supply.spot })) continue;
-    if (want.spec.gpus <= 0 && supply.gpus > EPSILON) continue;
+    if (want.spec.gpus <= 0 && supply.gpus > EPSILON && !mayBorrow(want.spec)) continue;
     if (slotsIn(want.spec, supply) > 0) return want.shard;
   }
   return null;
--- a/src/leasing/routing.ts
+++ b/src/leasing/routing.ts
@@ -1,7 +1,7 @@
 import type { MachineType } from '../cloud/index.js';
 import type { JobSpec } from '../jobs/index.js';
 import type { ShardName } from '../kernel/index.js';
-import { allowedKind } from '../placement/index.js';
+import { allowedKind, mayBorrow } from '../placement/index.js';
 import type { ShardSummary } from '../peers/index.js';
 
 const EPSILON = 1e-6;
@@ -23,7 +23,7 @@
   let freeCpus = 0;
   for (const m of summary.machines) {
     if (!m.usable || m.faulty || m.lost || !allowedKind(spec, m)) continue;
-    if (spec.gpus <= 0 && m.freeGpus > EPSILON) continue;
+    if (spec.gpus <= 0 && m.freeGpus > EPSILON && !mayBorrow(spec)) continue;
     const by = (need: number, free: number): number => (need <= 0 ? Infinity : Math.floor((free + EPSILON) / need));
     const here = Math.min(
       by(spec.cpus, m.freeCpus),
@@ -65,7 +65,7 @@
 export function bookRoom(spec: JobSpec, summary: ShardSummary): ShardSummary {
   let left = spec.tasks;
   const machines = summary.machines.map((m) => {
-    if (left <= 0 || !m.usable || !allowedKind(spec, m) || (spec.gpus <= 0 && m.freeGpus > EPSILON)) return m;
+    if (left <= 0 || !m.usable || !allowedKind(spec, m) || (spec.gpus <= 0 && m.freeGpus > EPSILON && !mayBorrow(spec))) return m;
     let { freeCpus, freeGpus, freeMemoryGb } = m;
     while (
       left > 0 &&
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -81,6 +81,8 @@
   readonly index: number;
   readonly machine: MachineId;
   readonly forJob: JobId;
+  /** Without time to save: a service waits for the room. */
+  readonly atOnce: boolean;
 }
 
 export interface Unplaced {
@@ -132,10 +134,16 @@
   if (spec.cpus > room.cpus + EPSILON) return false;
   if (spec.gpus > room.gpus + EPSILON) return false;
   if (spec.memoryGb > room.memoryGb + EPSILON) return false;
-  // Free accelerators keep their machine's cpus: other work takes what a job with accelerators leaves.
-  return spec.gpus > 0 || room.gpus < EPSILON;
+  return spec.gpus > 0 || room.gpus < EPSILON || mayBorrow(spec);
 }
 
+/**
+ * Free accelerators keep their machine's cpus: other work takes what a job with accelerators
+ * leaves, but for work that gives way and loses little: of low priority, with checkpoints.
+ */
+export const mayBorrow = (spec: JobSpec): boolean =>
+  spec.gpus <= 0 && spec.kind === 'array' && spec.priority === Priority.low && spec.checkpointS > 0;
+
 function book(spec: JobSpec, room: Room): void {
   room.cpus -= spec.cpus;
   room.gpus -= spec.gpus;
@@ -161,6 +169,7 @@
     if (spec.spot && !m.spot) s += 1.5;
   }
   s += m.cpuPrice * 5;
+  if (spec.gpus <= 0 && room.gpus > EPSILON) s += 20;
   return s;
 }
 
@@ -215,7 +224,9 @@
           charge(spec);
           starts.push({ job: spec.id, index, machine: room.view.id });
         }
-      } else unplaced.push({ job: spec.id, count: job.ready.length });
+      } else if (!preemptForGang(job, candidates, stopped, stops)) {
+        unplaced.push({ job: spec.id, count: job.ready.length });
+      }
       continue;
     }
     const zoneUse = new Map(job.zoneUse);
@@ -304,32 +315,11 @@
   let coming = 0;
   const rooms = [...candidates].sort((a, b) => b.coming.cpus + b.cpus - (a.coming.cpus + a.cpus));
   for (const room of rooms) {
-    if (room.view.suspicion > 0 || spec.gpus > 0) continue;
+    if (room.view.suspicion > 0 || spec.gpus > 0 || room.gpus > EPSILON) continue;
     while (coming < missing && allowedZone(spec, room.view.zone, zoneUse)) {
-      const victims: Stoppable[] = [];
-      const has = (): boolean =>
-        room.cpus + room.coming.cpus + victims.reduce((sum, task) => sum + task.cpus, 0) + EPSILON >= spec.cpus &&
-        room.memoryGb + room.coming.memoryGb + victims.reduce((sum, task) => sum + task.memoryGb, 0) + EPSILON >=
-          spec.memoryGb;
-      const order = room.view.running
-        .filter((task) => task.priority < spec.priority && !task.stopping && !stopped.has(`${task.job}/${task.index}`))
-        .sort((a, b) => a.priority - b.priority || a.lossS - b.lossS);
-      for (const task of order) {
-        if (has()) break;
-        victims.push(task);
-      }
-      if (!has()) break;
-      for (const task of victims) {
-        stopped.add(`${task.job}/${task.index}`);
-        room.coming.cpus += task.cpus;
-        room.coming.memoryGb += task.memoryGb;
-        stops.push({ job: task.job, index: task.index, machine: room.view.id, forJob: spec.id });
-      }
-      // What is booked now is paid from the free part first, from the coming part for the rest.
-      room.coming.cpus -= Math.max(0, spec.cpus - Math.max(0, room.cpus));
-      room.cpus = Math.max(0, room.cpus - spec.cpus);
-      room.coming.memoryGb -= Math.max(0, spec.memoryGb - Math.max(0, room.memoryGb));
-      room.memoryGb = Math.max(0, room.memoryGb - spec.memoryGb);
+      const victims = victimsFor(spec, room, stopped);
+      if (!victims) break;
+      evict(victims, spec, room, stopped, stops, spec.kind === 'service');
       zoneUse.set(room.view.zone, (zoneUse.get(room.view.zone) ?? 0) + 1);
       coming += 1;
     }
@@ -337,3 +327,79 @@
   }
   return coming;
 }
+
+/** The tasks of lower priority to stop so that one task fits, or null when that is not enough. */
+function victimsFor(spec: JobSpec, room: Room, stopped: ReadonlySet<string>): Stoppable[] | null {
+  const victims: Stoppable[] = [];
+  const sum = (of: (task: Stoppable) => number): number => victims.reduce((total, task) => total + of(task), 0);
+  const has = (): boolean =>
+    room.cpus + room.coming.cpus + sum((task) => task.cpus) + EPSILON >= spec.cpus &&
+    room.gpus + room.coming.gpus + sum((task) => task.gpus) + EPSILON >= spec.gpus &&
+    room.memoryGb + room.coming.memoryGb + sum((task) => task.memoryGb) + EPSILON >= spec.memoryGb;
+  const order = room.view.running
+    .filter((task) => task.priority < spec.priority && !task.stopping && !stopped.has(`${task.job}/${task.index}`))
+    .sort((a, b) => a.priority - b.priority || a.lossS - b.lossS);
+  for (const task of order) {
+    if (has()) break;
+    victims.push(task);
+  }
+  return has() ? victims : null;
+}
+
+function evict(
+  victims: readonly Stoppable[],
+  spec: JobSpec,
+  room: Room,
+  stopped: Set<string>,
+  stops: PlannedStop[],
+  atOnce: boolean,
+): void {
+  for (const task of victims) {
+    stopped.add(`${task.job}/${task.index}`);
+    room.coming.cpus += task.cpus;
+    room.coming.gpus += task.gpus;
+    room.coming.memoryGb += task.memoryGb;
+    stops.push({ job: task.job, index: task.index, machine: room.view.id, forJob: spec.id, atOnce });
+  }
+  // What is booked now is paid from the free part first, from the coming part for the rest.
+  room.coming.cpus -= Math.max(0, spec.cpus - Math.max(0, room.cpus));
+  room.cpus = Math.max(0, room.cpus - spec.cpus);
+  room.coming.gpus -= Math.max(0, spec.gpus - Math.max(0, room.gpus));
+  room.gpus = Math.max(0, room.gpus - spec.gpus);
+  room.coming.memoryGb -= Math.max(0, spec.memoryGb - Math.max(0, room.memoryGb));
+  room.memoryGb = Math.max(0, room.memoryGb - spec.memoryGb);
+}
+
+/** The same for a whole gang: room for all of its tasks is made, or nothing is stopped. */
+function preemptForGang(job: PendingJob, candidates: readonly Room[], stopped: Set<string>, stops: PlannedStop[]): boolean {
+  const { spec } = job;
+  const zones = spec.oneZone ? [...new Set(candidates.map((c) => c.view.zone))].sort() : [null];
+  for (const zone of zones) {
+    const rooms = candidates.filter((c) => (zone === null || c.view.zone === zone) && c.view.suspicion === 0);
+    const trial = rooms.map((room): Room => ({ ...room, coming: { ...room.coming } }));
+    const trialStopped = new Set(stopped);
+    const trialStops: PlannedStop[] = [];
+    const zoneUse = new Map(job.zoneUse);
+    let placed = 0;
+    trial.sort((a, b) => b.cpus + b.coming.cpus - (a.cpus + a.coming.cpus));
+    for (const room of trial) {
+      while (placed < job.ready.length && allowedZone(spec, room.view.zone, zoneUse)) {
+        const victims = victimsFor(spec, room, trialStopped);
+        if (!victims) break;
+        evict(victims, spec, room, trialStopped, trialStops, false);
+        zoneUse.set(room.view.zone, (zoneUse.get(room.view.zone) ?? 0) + 1);
+        placed += 1;
+      }
+    }
+    if (placed < job.ready.length) continue;
+    for (const room of rooms) {
+      const after = trial.find((t) => t.view === room.view);
+      if (!after) continue;
+      Object.assign(room, { cpus: after.cpus, gpus: after.gpus, memoryGb: after.memoryGb, coming: after.coming });
+    }
+    for (const key of trialStopped) stopped.add(key);
+    stops.push(...trialStops);
+    return true;
+  }
+  return false;
+}
