--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -14,7 +14,7 @@
           patterns: [
             {
               // A slice is imported through its index.ts only.
-              group: ['../*/*', '!../*/index.js', '../../src/*/*', '!../../src/*/index.js'],
+              regex: '^(?:\\.\\./)+(?:src/[a-z]+|(?!src/)[a-z]+)/(?!index\\.js$)',
               message: 'import a slice through its index.js',
             },
           ],
--- a/src/admin/settings.ts
+++ b/src/admin/settings.ts
@@ -29,6 +29,7 @@
 export type MachineMark = 'cordon' | 'drain' | 'uncordon';
 
 export function parseTunables(body: unknown): { ok: true; patch: TunablesPatch } | { ok: false; reason: string } {
+  if (!isObject(body)) return { ok: false, reason: 'the body must be a JSON object' };
   const result = v.safeParse(tunables, body);
   if (result.success) return { ok: true, patch: result.output };
   const issue = result.issues[0];
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -74,11 +74,15 @@
 withNode(job.command('submit'))
   .description('submit a job described in JSON')
   .argument('<file>', 'the description; - reads standard input')
-  .action((file: string, o: { node: string }) => ask(o.node, { method: 'POST', path: '/v1/jobs', body: readJson(file) }));
+  .action((file: string, o: { node: string }) =>
+    ask(o.node, { method: 'POST', path: '/v1/jobs', body: readJson(file) }),
+  );
 withNode(job.command('show'))
   .description('show the state of a job')
   .argument('<id>')
-  .action((id: string, o: { node: string }) => ask(o.node, { method: 'GET', path: `/v1/jobs/${encodeURIComponent(id)}` }));
+  .action((id: string, o: { node: string }) =>
+    ask(o.node, { method: 'GET', path: `/v1/jobs/${encodeURIComponent(id)}` }),
+  );
 withNode(job.command('cancel'))
   .description('cancel a job')
   .argument('<id>')
--- a/src/cloud/client.ts
+++ b/src/cloud/client.ts
@@ -1,4 +1,13 @@
-import { HttpClient, systemClock, type Address, type Answer, type Clock, type Logger, type MachineId, type Millis } from '../kernel/index.js';
+import {
+  HttpClient,
+  systemClock,
+  type Address,
+  type Answer,
+  type Clock,
+  type Logger,
+  type MachineId,
+  type Millis,
+} from '../kernel/index.js';
 import {
   decodeRentals,
   decodeRented,
@@ -81,7 +90,8 @@
       const ids = decodeRented(answer.body);
       return ids ? { kind: 'rented', ids } : { kind: 'failed' };
     }
-    if (answer.kind === 'answered' && answer.status === 503 && isNoCapacity(answer.body)) return { kind: 'no-capacity' };
+    if (answer.kind === 'answered' && answer.status === 503 && isNoCapacity(answer.body))
+      return { kind: 'no-capacity' };
     return { kind: 'failed' };
   }
 
--- a/src/cloud/wire.ts
+++ b/src/cloud/wire.ts
@@ -107,4 +107,3 @@
   giveBack: '/rentals/return',
   list: (after: string): string => `/rentals?most=500${after === '' ? '' : `&after=${encodeURIComponent(after)}`}`,
 };
-
--- a/src/holder/holder.ts
+++ b/src/holder/holder.ts
@@ -195,10 +195,18 @@
   }
 
   private superseded(machine: HeldMachine): void {
-    this.deps.log.info({ shard: this.shard, machine: machine.id }, 'a worker has seen a higher token: another holder is at work');
+    this.deps.log.info(
+      { shard: this.shard, machine: machine.id },
+      'a worker has seen a higher token: another holder is at work',
+    );
     void this.deps.state.get(shardKey(this.shard)).then((read) => {
       if (read.kind !== 'found') return;
-      this.deps.mirror.apply({ key: read.entry.key, value: read.entry.value, removed: false, version: read.entry.version });
+      this.deps.mirror.apply({
+        key: read.entry.key,
+        value: read.entry.value,
+        removed: false,
+        version: read.entry.version,
+      });
     });
   }
 
@@ -208,7 +216,8 @@
     const machine = this.machines.get(message.machine);
     const now = this.deps.clock.now();
     if (!machine || this.dropped) return { status: 421, body: encodeRedirect(null) };
-    if (this.frozen || (machine.leaving?.since ?? 0) < 0) return { status: 503, body: { error: 'the shard changes hands' } };
+    if (this.frozen || (machine.leaving?.since ?? 0) < 0)
+      return { status: 503, body: { error: 'the shard changes hands' } };
     const verdict = machine.belief.take(message, now);
     if (verdict === 'superseded') {
       this.superseded(machine);
@@ -308,7 +317,14 @@
     }
   }
 
-  private onExit(machine: HeldMachine, run: JobRun, index: number, active: ActiveTask | undefined, listed: ListedTask, now: Millis): void {
+  private onExit(
+    machine: HeldMachine,
+    run: JobRun,
+    index: number,
+    active: ActiveTask | undefined,
+    listed: ListedTask,
+    now: Millis,
+  ): void {
     const { spec } = run;
     if (listed.why === 'done' && run.markDone(index)) {
       machine.noteImage(spec.image);
@@ -357,7 +373,10 @@
     if (active.stopping) return;
     if (reason === 'cancelled' || reason === 'regroup') graceS = 0;
     active.stopping = { reason, since: this.deps.clock.now(), graceS };
-    this.deps.log.debug({ job: run.id, index: active.index, machine: active.machine, reason }, 'a task is to be stopped');
+    this.deps.log.debug(
+      { job: run.id, index: active.index, machine: active.machine, reason },
+      'a task is to be stopped',
+    );
   }
 
   /** Tasks of a gang are stopped together or the saving fails. */
@@ -515,7 +534,9 @@
     for (const run of this.jobs.values()) {
       if (run.ended || run.spec.kind !== 'array' || run.startedAt === null) continue;
       const started = run.startedAt;
-      const tasks = [...run.active.values()].filter((a) => a.state === 'running' && a.runningAt !== null && !a.stopping);
+      const tasks = [...run.active.values()].filter(
+        (a) => a.state === 'running' && a.runningAt !== null && !a.stopping,
+      );
       running.set(run.id, tasks.length);
       const startedWall = wall - (now - started);
       flags.push(
@@ -673,7 +694,8 @@
   private teamUse(): Map<string, TeamUse> {
     const use = new Map<string, TeamUse>();
     for (const [name, team] of this.deps.settings.teams) {
-      if (team.cpusMax > 0 || team.gpusMax > 0) use.set(name, { cpus: 0, gpus: 0, cpusMax: team.cpusMax, gpusMax: team.gpusMax });
+      if (team.cpusMax > 0 || team.gpusMax > 0)
+        use.set(name, { cpus: 0, gpus: 0, cpusMax: team.cpusMax, gpusMax: team.gpusMax });
     }
     if (use.size === 0) return use;
     for (const machine of this.machines.values()) {
@@ -721,13 +743,18 @@
         waitedS: (now - run.seenAt) / 1000,
       });
     }
-    const views = [...this.machines.values()].map((m) => this.viewOf(m, now)).filter((v): v is MachineView => v !== null);
+    const views = [...this.machines.values()]
+      .map((m) => this.viewOf(m, now))
+      .filter((v): v is MachineView => v !== null);
     const plan = planPlacement({ machines: views, pending, teams, maxStarts: 200 });
     for (const stop of plan.stops) {
       const run = this.jobs.get(stop.job);
       const active = run?.active.get(stop.index);
       if (!run || !active || active.stopping) continue;
-      this.deps.log.info({ job: stop.job, index: stop.index, machine: stop.machine, for: stop.forJob }, 'preempting a task');
+      this.deps.log.info(
+        { job: stop.job, index: stop.index, machine: stop.machine, for: stop.forJob },
+        'preempting a task',
+      );
       this.stop(run, active, 'preempted', stop.atOnce ? 0 : run.graceS);
     }
     const gangAttempts = new Map<JobId, Attempt>();
@@ -912,7 +939,8 @@
       this.deps.mirror.apply({ key: shardKey(this.shard), value: next, removed: false, version: result.revision });
       return true;
     }
-    if (result.kind === 'unknown') await settleShard(this.shard, this.deps.state, this.deps.mirror, () => !this.dropped);
+    if (result.kind === 'unknown')
+      await settleShard(this.shard, this.deps.state, this.deps.mirror, () => !this.dropped);
     if (!this.dropped) this.frozen = false;
     return false;
   }
--- a/src/holder/machine.ts
+++ b/src/holder/machine.ts
@@ -1,6 +1,15 @@
 import type { MachineType } from '../cloud/index.js';
 import type { JobSpec } from '../jobs/index.js';
-import { parseTaskKey, type Clock, type JobId, type Logger, type MachineId, type Millis, type Revision, type TaskKey } from '../kernel/index.js';
+import {
+  parseTaskKey,
+  type Clock,
+  type JobId,
+  type Logger,
+  type MachineId,
+  type Millis,
+  type Revision,
+  type TaskKey,
+} from '../kernel/index.js';
 import type { BlockMachine } from '../membership/index.js';
 import { Courier, MachineBelief, type CourierHooks } from '../workers/index.js';
 
@@ -82,7 +91,10 @@
   }
 
   /** What is free; null for machines whose type is not known or that hold tasks of unknown size. */
-  free(type: MachineType | undefined, specOf: (id: JobId) => JobSpec | null): { cpus: number; gpus: number; memoryGb: number } | null {
+  free(
+    type: MachineType | undefined,
+    specOf: (id: JobId) => JobSpec | null,
+  ): { cpus: number; gpus: number; memoryGb: number } | null {
     if (!type) return null;
     let { cpus, gpus, memoryGb } = type;
     const subtract = (key: TaskKey): boolean => {
--- a/src/holder/run.ts
+++ b/src/holder/run.ts
@@ -1,4 +1,12 @@
-import { Bits, type Attempt, type JobId, type MachineId, type Millis, type Revision, type WallMillis } from '../kernel/index.js';
+import {
+  Bits,
+  type Attempt,
+  type JobId,
+  type MachineId,
+  type Millis,
+  type Revision,
+  type WallMillis,
+} from '../kernel/index.js';
 import type { JobRecord, JobSpec } from '../jobs/index.js';
 import type { TaskState } from '../workers/index.js';
 
--- a/src/jobs/registry.ts
+++ b/src/jobs/registry.ts
@@ -3,7 +3,15 @@
 import { Bits, type Clock, type JobId, type Logger, type Revision, type ShardName } from '../kernel/index.js';
 import { finalKey, jobKey, Urgency, type Mirror, type StateClient } from '../state/index.js';
 import { whyNever } from './admission.js';
-import { decodeFinal, decodeRecord, encodeRecord, type JobFinal, type JobRecord, type JobSpec, type JobView } from './model.js';
+import {
+  decodeFinal,
+  decodeRecord,
+  encodeRecord,
+  type JobFinal,
+  type JobRecord,
+  type JobSpec,
+  type JobView,
+} from './model.js';
 
 /** The outcome of a user's request, before it is put in the users' words. */
 export type Outcome =
--- a/src/kernel/http.ts
+++ b/src/kernel/http.ts
@@ -59,7 +59,14 @@
         headers['content-length'] = payload.length;
       }
       const req = request(
-        { agent: this.agent, host: this.address.host, port: this.address.port, method: call.method, path: call.path, headers },
+        {
+          agent: this.agent,
+          host: this.address.host,
+          port: this.address.port,
+          method: call.method,
+          path: call.path,
+          headers,
+        },
         (res) => {
           const chunks: Buffer[] = [];
           let size = 0;
--- a/src/leasing/leader.ts
+++ b/src/leasing/leader.ts
@@ -1,6 +1,16 @@
 import type { CloudClient, MachineType, Rental } from '../cloud/index.js';
 import { decodeRecord, type JobSpec } from '../jobs/index.js';
-import { millis, type Clock, type JobId, type Logger, type MachineId, type Millis, type NodeName, type Revision, type ShardName } from '../kernel/index.js';
+import {
+  millis,
+  type Clock,
+  type JobId,
+  type Logger,
+  type MachineId,
+  type Millis,
+  type NodeName,
+  type Revision,
+  type ShardName,
+} from '../kernel/index.js';
 import { decodeShard, encodeShard, settleShard, type BlockMachine, type ShardValue } from '../membership/index.js';
 import type { PeerMessage, ShardSummary } from '../peers/index.js';
 import { jobKey, JOBS, LEADER, shardKey, SHARDS, Urgency, type Mirror, type StateClient } from '../state/index.js';
@@ -37,7 +47,9 @@
 
 const LIST_EVERY_MS = 2500;
 const REFUSED_MS = 15_000;
-const IDLE_RETURN_S = 25;
+const IDLE_RETURN_S = 20;
+/** What is left for boots, fetches and stragglers. */
+const PATIENCE = 0.75;
 const TRANSFER_PAUSE_MS = 3000;
 
 /** The leader's duties: machine blocks, fleet size, price. Losing the leader costs only these. */
@@ -70,7 +82,18 @@
   private learn(id: MachineId, type: string, zone: string, spot: boolean, rentedAt: Millis): Known {
     let known = this.known.get(id);
     if (!known) {
-      known = { id, type, zone, spot, rentedAt, reportedAt: null, address: '', listedAt: null, phase: 'booting', doomed: false };
+      known = {
+        id,
+        type,
+        zone,
+        spot,
+        rentedAt,
+        reportedAt: null,
+        address: '',
+        listedAt: null,
+        phase: 'booting',
+        doomed: false,
+      };
       this.known.set(id, known);
     }
     return known;
@@ -128,6 +151,7 @@
       refused: new Set(this.refused.keys()),
       headroom: this.headroom(),
       idleReturnS: IDLE_RETURN_S,
+      patience: PATIENCE,
       ageOf: (id) => {
         const known = this.known.get(id);
         return known ? (now - known.rentedAt) / 1000 : 0;
@@ -201,7 +225,10 @@
     }
   }
 
-  private async grant(grants: readonly { readonly machine: MachineId; readonly to: ShardName }[], term: Revision): Promise<void> {
+  private async grant(
+    grants: readonly { readonly machine: MachineId; readonly to: ShardName }[],
+    term: Revision,
+  ): Promise<void> {
     const byShard = new Map<ShardName, MachineId[]>();
     for (const { machine, to } of grants) byShard.set(to, [...(byShard.get(to) ?? []), machine]);
     for (const [to, machines] of byShard) {
@@ -212,7 +239,8 @@
       const added: BlockMachine[] = [];
       for (const id of machines) {
         const known = this.known.get(id);
-        if (known && !taken.has(id)) added.push({ id, type: known.type, zone: known.zone, spot: known.spot, address: known.address });
+        if (known && !taken.has(id))
+          added.push({ id, type: known.type, zone: known.zone, spot: known.spot, address: known.address });
       }
       if (added.length === 0) continue;
       const value = encodeShard({ ...target.value, machines: [...target.value.machines, ...added] });
@@ -230,7 +258,11 @@
   }
 
   /** Machines that their holder has given up for lost: deleted first, then taken out of the block. */
-  private async removeLost(summaries: readonly ShardSummary[], placed: Map<MachineId, ShardName>, now: Millis): Promise<void> {
+  private async removeLost(
+    summaries: readonly ShardSummary[],
+    placed: Map<MachineId, ShardName>,
+    now: Millis,
+  ): Promise<void> {
     const lost = new Set<MachineId>();
     for (const s of summaries) {
       for (const m of s.machines) {
@@ -269,7 +301,12 @@
           again = true;
           const read = await this.deps.state.get(shardKey(name));
           if (read.kind === 'found') {
-            this.deps.mirror.apply({ key: read.entry.key, value: read.entry.value, removed: false, version: read.entry.version });
+            this.deps.mirror.apply({
+              key: read.entry.key,
+              value: read.entry.value,
+              removed: false,
+              version: read.entry.version,
+            });
           }
         }
       }
@@ -306,7 +343,10 @@
     }
   }
 
-  private async rent(wishes: readonly { type: string; zone: string; spot: boolean; count: number }[], term: Revision): Promise<void> {
+  private async rent(
+    wishes: readonly { type: string; zone: string; spot: boolean; count: number }[],
+    term: Revision,
+  ): Promise<void> {
     if (this.renting) return;
     this.renting = true;
     try {
--- a/src/leasing/plan.ts
+++ b/src/leasing/plan.ts
@@ -28,6 +28,8 @@
   /** Room for services that must be there at any time, largest first. */
   readonly headroom: readonly JobSpec[];
   readonly idleReturnS: number;
+  /** Share of the time that is left in which arrays are to be through. */
+  readonly patience: number;
   /** Machines in any block, with their age. */
   readonly ageOf: (id: MachineId) => number;
 }
@@ -51,7 +53,8 @@
   readonly spec: JobSpec;
   readonly shard: ShardName | null;
   slots: number;
-  readonly together: boolean;
+  readonly runS: number;
+  readonly slackS: number;
 }
 
 interface Supply {
@@ -63,14 +66,27 @@
   memoryGb: number;
 }
 
-export const kindKey = (type: string, zone: string, spot: boolean): string => `${type}/${zone}/${spot ? 'spot' : 'own'}`;
+export const kindKey = (type: string, zone: string, spot: boolean): string =>
+  `${type}/${zone}/${spot ? 'spot' : 'own'}`;
 
-/** How many tasks more should run at once, so that what waits is through before it gets late. */
-export function wantedSlots(missing: number, running: number, estimateS: number, slackS: number, spec: JobSpec): number {
-  if (spec.kind !== 'array') return missing;
-  const runS = Math.max(1, estimateS);
-  const timeS = Math.max(runS, slackS * 0.6);
-  return Math.max(1, Math.min(missing, Math.ceil(((missing + running) * runS) / timeS) - running));
+/** Work of arrays that waits, and what it has to be through by. */
+export interface ArrayBacklog {
+  readonly cpuSeconds: number;
+  readonly withinS: number;
+}
+
+/**
+ * How many cpus are missing so that every array is through in time, if all arrays share what runs
+ * them now, earliest first: a fluid view, since slots that get free serve the next job.
+ */
+export function missingCpus(backlog: readonly ArrayBacklog[], runningCpus: number, runningCpuSeconds: number): number {
+  let work = runningCpuSeconds;
+  let needed = 0;
+  for (const b of [...backlog].sort((x, y) => x.withinS - y.withinS)) {
+    work += b.cpuSeconds;
+    needed = Math.max(needed, work / Math.max(1, b.withinS));
+  }
+  return Math.max(0, needed - runningCpus);
 }
 
 function slotsIn(spec: JobSpec, s: Pick<Supply, 'cpus' | 'gpus' | 'memoryGb'>): number {
@@ -101,12 +117,13 @@
       wants.push({
         spec,
         shard: shard.shard,
-        slots: wantedSlots(d.missing, d.running, d.estimateS, d.slackS, spec),
-        together: spec.kind === 'gang',
+        slots: d.missing,
+        runS: Math.max(1, d.estimateS),
+        slackS: d.slackS,
       });
     }
   }
-  wants.sort((a, b) => b.spec.priority - a.spec.priority);
+  wants.sort((a, b) => b.spec.priority - a.spec.priority || a.slackS - b.slackS);
 
   const grants: { machine: MachineId; to: ShardName }[] = [];
   const transfers: { machine: MachineId; from: ShardName; to: ShardName }[] = [];
@@ -137,7 +154,8 @@
   // Idle machines follow the demand.
   const idle: { machine: MachineSummary; shard: ShardSummary }[] = [];
   for (const shard of input.shards) {
-    for (const machine of shard.machines) if (machine.idleMs > 0 && machine.usable && !machine.lost && !machine.faulty) idle.push({ machine, shard });
+    for (const machine of shard.machines)
+      if (machine.idleMs > 0 && machine.usable && !machine.lost && !machine.faulty) idle.push({ machine, shard });
   }
   const stillIdle: typeof idle = [];
   for (const entry of idle) {
@@ -157,6 +175,8 @@
     else stillIdle.push(entry);
   }
 
+  holdBack(wants, input);
+
   // Machines on their way will serve what is left; those that take too long do not count.
   for (const machine of input.loose) {
     if (machine.up) continue;
@@ -173,7 +193,14 @@
       for (const m of shard.machines) {
         const type = input.types.get(m.type);
         if (!type || !m.usable || m.faulty || m.lost || m.id === without) continue;
-        supplies.push({ type, zone: m.zone, spot: m.spot, cpus: m.freeCpus, gpus: m.freeGpus, memoryGb: m.freeMemoryGb });
+        supplies.push({
+          type,
+          zone: m.zone,
+          spot: m.spot,
+          cpus: m.freeCpus,
+          gpus: m.freeGpus,
+          memoryGb: m.freeMemoryGb,
+        });
       }
     }
     for (const m of input.loose) {
@@ -183,7 +210,7 @@
     return supplies;
   };
   const lacking = (supplies: Supply[]): Want[] => {
-    const needs = input.headroom.map((spec): Want => ({ spec, shard: null, slots: spec.tasks, together: false }));
+    const needs = input.headroom.map((spec): Want => ({ spec, shard: null, slots: spec.tasks, runS: 1, slackS: 0 }));
     for (const need of needs) for (const supply of supplies) if (need.slots > 0) take(need, supply);
     return needs.filter((need) => need.slots > 0);
   };
@@ -197,7 +224,11 @@
     if (releasing >= 2) break;
     const supply = input.types.get(machine.type);
     if (!supply) continue;
-    if (anyWant && wants.some((w) => w.slots > 0 && allowedKind(w.spec, machine) && (w.spec.gpus > 0 || machine.freeGpus < EPSILON))) continue;
+    if (
+      anyWant &&
+      wants.some((w) => w.slots > 0 && allowedKind(w.spec, machine) && (w.spec.gpus > 0 || machine.freeGpus < EPSILON))
+    )
+      continue;
     if (machine.freeGpus < EPSILON && !machine.spot && lacking(room(machine.id)).length > 0) continue;
     releases.push({ machine: machine.id, from: shard.shard });
     releasing += 1;
@@ -208,6 +239,31 @@
   return { grants, transfers, rents: [...rents.values()], releases };
 }
 
+/** Machines that stand idle follow any demand; new ones are rented only for what would be late. */
+function holdBack(wants: readonly Want[], input: LeaseInput): void {
+  let runningCpus = 0;
+  let runningCpuSeconds = 0;
+  for (const shard of input.shards) {
+    for (const r of shard.running) {
+      const spec = input.specOf(r.job);
+      if (spec?.kind !== 'array') continue;
+      runningCpus += r.running * spec.cpus;
+      runningCpuSeconds += (r.running * spec.cpus * spec.estimateS) / 2;
+    }
+  }
+  const arrays = wants.filter((want) => want.spec.kind === 'array' && want.slots > 0);
+  const backlog = arrays.map((want) => ({
+    cpuSeconds: want.slots * want.spec.cpus * want.runS,
+    withinS: Math.max(want.runS, (want.slackS + want.runS) * input.patience),
+  }));
+  let missing = missingCpus(backlog, runningCpus, runningCpuSeconds);
+  for (const want of arrays) {
+    const slots = Math.min(want.slots, Math.ceil(missing / Math.max(0.01, want.spec.cpus)));
+    missing = Math.max(0, missing - slots * want.spec.cpus);
+    want.slots = slots;
+  }
+}
+
 function hourly(input: LeaseInput, m: MachineSummary): number {
   const type = input.types.get(m.type);
   return type ? (m.spot ? type.spotPrice : type.price) : 0;
--- a/src/leasing/routing.ts
+++ b/src/leasing/routing.ts
@@ -38,7 +38,13 @@
     if (m.images.includes(spec.image) || (!slowFetch && spec.kind !== 'service')) warm += here;
   }
   const waiting = summary.demand.reduce((sum, d) => sum + d.missing, 0);
-  return { shard: summary.shard, slots: Math.min(slots, spec.tasks), warm: Math.min(warm, spec.tasks), freeCpus, waiting };
+  return {
+    shard: summary.shard,
+    slots: Math.min(slots, spec.tasks),
+    warm: Math.min(warm, spec.tasks),
+    freeCpus,
+    waiting,
+  };
 }
 
 /** Where a job can start soonest: room for all of it, images in place, most left over; else the shortest queue. */
@@ -65,7 +71,8 @@
 export function bookRoom(spec: JobSpec, summary: ShardSummary): ShardSummary {
   let left = spec.tasks;
   const machines = summary.machines.map((m) => {
-    if (left <= 0 || !m.usable || !allowedKind(spec, m) || (spec.gpus <= 0 && m.freeGpus > EPSILON && !mayBorrow(spec))) return m;
+    if (left <= 0 || !m.usable || !allowedKind(spec, m) || (spec.gpus <= 0 && m.freeGpus > EPSILON && !mayBorrow(spec)))
+      return m;
     let { freeCpus, freeGpus, freeMemoryGb } = m;
     while (
       left > 0 &&
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -1,4 +1,15 @@
-import { isObject, millis, shardName, type Clock, type Incarnation, type Logger, type Millis, type NodeName, type Revision, type ShardName } from '../kernel/index.js';
+import {
+  isObject,
+  millis,
+  shardName,
+  type Clock,
+  type Incarnation,
+  type Logger,
+  type Millis,
+  type NodeName,
+  type Revision,
+  type ShardName,
+} from '../kernel/index.js';
 import { LEADER, nodeKey, shardKey, Urgency, type Mirror, type StateClient } from '../state/index.js';
 import { decodeShard, encodeShard, type ShardValue } from './shard.js';
 
@@ -100,7 +111,12 @@
     this.lease ??= (await this.state.grantLease(LEASE_MS)) ?? undefined;
     if (this.lease === undefined) return;
     const value = { incarnation: this.incarnation };
-    const result = await this.state.txn(Urgency.session, [], [{ put: nodeKey(this.self), value, lease: this.lease }], 1500);
+    const result = await this.state.txn(
+      Urgency.session,
+      [],
+      [{ put: nodeKey(this.self), value, lease: this.lease }],
+      1500,
+    );
     if (result.kind === 'ok') {
       this.nodeVersion = result.revision;
       this.mirror.apply({ key: nodeKey(this.self), value, removed: false, version: result.revision });
@@ -154,10 +170,20 @@
     const homeAlive = this.alive(home) !== null;
     const rank = this.others.filter((n) => n !== home && this.alive(n) !== null && n < this.self).length;
     const load = this.hooks.held().length;
-    return (homeAlive ? 3 * RANK_DELAY_MS : 0) + (value?.released === true ? RANK_DELAY_MS : 0) + rank * 150 + Math.max(0, load - 1) * RANK_DELAY_MS;
+    return (
+      (homeAlive ? 3 * RANK_DELAY_MS : 0) +
+      (value?.released === true ? RANK_DELAY_MS : 0) +
+      rank * 150 +
+      Math.max(0, load - 1) * RANK_DELAY_MS
+    );
   }
 
-  private async claimOne(shard: ShardName, version: number, value: ShardValue | null, nodeVersion: Revision): Promise<void> {
+  private async claimOne(
+    shard: ShardName,
+    version: number,
+    value: ShardValue | null,
+    nodeVersion: Revision,
+  ): Promise<void> {
     const holder = value?.holder ?? null;
     const guards = [
       { key: shardKey(shard), version },
--- a/src/membership/settle.ts
+++ b/src/membership/settle.ts
@@ -5,7 +5,12 @@
  * After a write of unknown outcome: reads the shard's key and writes it back under guard. Once that
  * is done the lost write either shows or can never be applied any more.
  */
-export async function settleShard(shard: ShardName, state: StateClient, mirror: Mirror, goOn: () => boolean): Promise<void> {
+export async function settleShard(
+  shard: ShardName,
+  state: StateClient,
+  mirror: Mirror,
+  goOn: () => boolean,
+): Promise<void> {
   const key = shardKey(shard);
   while (goOn()) {
     const read = await state.get(key);
--- a/src/membership/shard.ts
+++ b/src/membership/shard.ts
@@ -1,4 +1,14 @@
-import { asList, asString, incarnation, isObject, machineId, nodeName, type Incarnation, type MachineId, type NodeName } from '../kernel/index.js';
+import {
+  asList,
+  asString,
+  incarnation,
+  isObject,
+  machineId,
+  nodeName,
+  type Incarnation,
+  type MachineId,
+  type NodeName,
+} from '../kernel/index.js';
 
 export interface BlockMachine {
   readonly id: MachineId;
@@ -31,7 +41,13 @@
     const type = asString(item['type']);
     const zone = asString(item['zone']);
     if (id === undefined || type === undefined || zone === undefined) return null;
-    machines.push({ id: machineId(id), type, zone, spot: item['spot'] === true, address: asString(item['address']) ?? '' });
+    machines.push({
+      id: machineId(id),
+      type,
+      zone,
+      spot: item['spot'] === true,
+      address: asString(item['address']) ?? '',
+    });
   }
   return { holder: nodeName(holder), incarnation: incarnation(life), released: value['released'] === true, machines };
 }
--- a/src/peers/link.ts
+++ b/src/peers/link.ts
@@ -173,7 +173,10 @@
         }
       } catch (error) {
         // Whatever a peer sends, it costs no more than this connection.
-        this.log.warn({ reason: error instanceof Error ? error.message : String(error), from }, 'a malformed frame was refused');
+        this.log.warn(
+          { reason: error instanceof Error ? error.message : String(error), from },
+          'a malformed frame was refused',
+        );
         socket.destroy();
       }
     });
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -67,7 +67,16 @@
   | { readonly kind: 'standdown'; readonly shard: ShardName; readonly version: number }
   | { readonly kind: 'stooddown'; readonly shard: ShardName; readonly version: number };
 
-const Kind = { hello: 1, summary: 2, cancelled: 3, transfer: 4, ask: 5, answer: 6, standdown: 7, stooddown: 8 } as const;
+const Kind = {
+  hello: 1,
+  summary: 2,
+  cancelled: 3,
+  transfer: 4,
+  ask: 5,
+  answer: 6,
+  standdown: 7,
+  stooddown: 8,
+} as const;
 
 const flags = (...bits: boolean[]): number => bits.reduce((sum, bit, i) => sum | (bit ? 1 << i : 0), 0);
 
@@ -116,7 +125,12 @@
 function decodeFields(r: FrameReader): PeerMessage {
   switch (r.kind) {
     case Kind.hello:
-      return { kind: 'hello', node: nodeName(r.text()), incarnation: incarnation(r.text()), stateOk: (r.u8() & 1) !== 0 };
+      return {
+        kind: 'hello',
+        node: nodeName(r.text()),
+        incarnation: incarnation(r.text()),
+        stateOk: (r.u8() & 1) !== 0,
+      };
     case Kind.summary: {
       const shard = shardName(r.text());
       const holder = nodeName(r.text());
@@ -142,15 +156,13 @@
           images: r.items(() => r.text()),
         };
       });
-      const demand = r.items(
-        (): DemandSummary => ({
-          job: jobId(r.text()),
-          missing: r.u32(),
-          running: r.u32(),
-          slackS: r.f64(),
-          estimateS: r.f64(),
-        }),
-      );
+      const demand = r.items((): DemandSummary => ({
+        job: jobId(r.text()),
+        missing: r.u32(),
+        running: r.u32(),
+        slackS: r.f64(),
+        estimateS: r.f64(),
+      }));
       const running = r.items((): RunningSummary => ({ job: jobId(r.text()), running: r.u32(), done: r.u32() }));
       return { kind: 'summary', summary: { shard, holder, machines, demand, running } };
     }
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -371,7 +371,12 @@
 }
 
 /** The same for a whole gang: room for all of its tasks is made, or nothing is stopped. */
-function preemptForGang(job: PendingJob, candidates: readonly Room[], stopped: Set<string>, stops: PlannedStop[]): boolean {
+function preemptForGang(
+  job: PendingJob,
+  candidates: readonly Room[],
+  stopped: Set<string>,
+  stops: PlannedStop[],
+): boolean {
   const { spec } = job;
   const zones = spec.oneZone ? [...new Set(candidates.map((c) => c.view.zone))].sort() : [null];
   for (const zone of zones) {
--- a/src/service/http.ts
+++ b/src/service/http.ts
@@ -1,5 +1,11 @@
 import { createServer, type Server } from 'node:http';
-import express, { type ErrorRequestHandler, type Express, type NextFunction, type Response, type Router } from 'express';
+import express, {
+  type ErrorRequestHandler,
+  type Express,
+  type NextFunction,
+  type Response,
+  type Router,
+} from 'express';
 import type { Logger } from '../kernel/index.js';
 import { parseSubmission } from '../jobs/index.js';
 import type { ReportReply } from '../holder/index.js';
--- a/src/service/service.ts
+++ b/src/service/service.ts
@@ -380,7 +380,11 @@
           this.takeTypes(types);
           const stored = this.mirror.get(TYPES);
           if (JSON.stringify(stored?.value) !== JSON.stringify(types)) {
-            await this.state.txn(Urgency.progress, [{ key: TYPES, version: stored?.version ?? 0 }], [{ put: TYPES, value: types }]);
+            await this.state.txn(
+              Urgency.progress,
+              [{ key: TYPES, version: stored?.version ?? 0 }],
+              [{ put: TYPES, value: types }],
+            );
           }
         }
       }
--- a/src/service/users.ts
+++ b/src/service/users.ts
@@ -3,8 +3,7 @@
 import type { AskOp, PeerLink } from '../peers/index.js';
 
 export type UserRequest =
-  | { readonly op: 'submit'; readonly spec: JobSpec }
-  | { readonly op: 'query' | 'cancel'; readonly id: string };
+  { readonly op: 'submit'; readonly spec: JobSpec } | { readonly op: 'query' | 'cancel'; readonly id: string };
 
 export interface UserAnswer {
   readonly status: number;
--- a/src/speculation/threshold.ts
+++ b/src/speculation/threshold.ts
@@ -57,7 +57,12 @@
 }
 
 /** Workers report no progress: elapsed time over a cap, but no less than what siblings took. */
-export function estimateRun(elapsedS: number, siblingMedianS: number | null, jobEstimateS: number, cap: number): number {
+export function estimateRun(
+  elapsedS: number,
+  siblingMedianS: number | null,
+  jobEstimateS: number,
+  cap: number,
+): number {
   return Math.max(elapsedS / cap, siblingMedianS ?? jobEstimateS);
 }
 
--- a/src/state/client.ts
+++ b/src/state/client.ts
@@ -29,9 +29,7 @@
 export type Urgency = (typeof Urgency)[keyof typeof Urgency];
 
 export type ReadResult =
-  | { readonly kind: 'found'; readonly entry: Entry }
-  | { readonly kind: 'absent' }
-  | { readonly kind: 'unavailable' };
+  { readonly kind: 'found'; readonly entry: Entry } | { readonly kind: 'absent' } | { readonly kind: 'unavailable' };
 
 export type TxnResult =
   | { readonly kind: 'ok'; readonly revision: Revision }
@@ -152,7 +150,11 @@
   }
 
   /** Waits for changes: null when the service gave none of use, 'gone' when the past is lost. */
-  async follow(prefix: string, after: Revision, waitMs: number): Promise<{ changes: Change[]; revision: Revision } | 'gone' | null> {
+  async follow(
+    prefix: string,
+    after: Revision,
+    waitMs: number,
+  ): Promise<{ changes: Change[]; revision: Revision } | 'gone' | null> {
     const answer = await this.watchHttp.call({
       method: 'GET',
       path: paths.follow(prefix, after, waitMs),
@@ -257,7 +259,12 @@
     }
   }
 
-  private async send(method: 'GET' | 'POST', path: string, body?: unknown, timeoutMs = REQUEST_TIMEOUT_MS): Promise<Answer> {
+  private async send(
+    method: 'GET' | 'POST',
+    path: string,
+    body?: unknown,
+    timeoutMs = REQUEST_TIMEOUT_MS,
+  ): Promise<Answer> {
     const answer = await this.http.call({ method, path, timeoutMs, ...(body === undefined ? {} : { body }) });
     if (answer.kind === 'failed' || answer.status === 503) this.failures += 1;
     else {
--- a/src/state/wire.ts
+++ b/src/state/wire.ts
@@ -22,8 +22,7 @@
 }
 
 export type Op =
-  | { readonly put: string; readonly value: unknown; readonly lease?: number }
-  | { readonly remove: string };
+  { readonly put: string; readonly value: unknown; readonly lease?: number } | { readonly remove: string };
 
 export function encodeTxn(guards: readonly Guard[], ops: readonly Op[]): unknown {
   return {
--- a/src/workers/wire.ts
+++ b/src/workers/wire.ts
@@ -73,7 +73,8 @@
   const tide = asCount(body['tide']);
   const tally = asCount(body['tally']);
   const helm = asCount(body['helm']);
-  if (machine === undefined || machine === '' || tide === undefined || tally === undefined || helm === undefined) return null;
+  if (machine === undefined || machine === '' || tide === undefined || tally === undefined || helm === undefined)
+    return null;
   const tasks: ListedTask[] = [];
   for (const item of asList(body['pieces'])) {
     if (!isObject(item)) return null;
--- /dev/null
+++ b/test/belief.test.ts
@@ -0,0 +1,213 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { attempt, jobId, millis, revision, taskKey, type TaskKey, type Token } from '../src/kernel/index.js';
+import { MachineBelief, type Order, type WorkerMessage } from '../src/workers/index.js';
+import { StandInWorker } from './standins/worker.js';
+
+const LEASE = 10_000;
+const KEYS = [taskKey(jobId('j-1'), 0), taskKey(jobId('j-1'), 1)];
+
+interface Packet {
+  readonly machine: number;
+  readonly helm: Token;
+  readonly tide: number;
+  readonly orders: readonly Order[];
+  /** Given up by its sender: it may still be delivered, unanswered. */
+  abandoned: boolean;
+}
+
+/**
+ * A small world: workers, commands that are delayed or lost, reports that come late, and holders
+ * that claim one after the other. The holder follows the rule that the real one follows: a task is
+ * started only if it is possibly nowhere, and after a claim only once every machine is fenced.
+ */
+class World {
+  readonly workers = [new StandInWorker('m0'), new StandInWorker('m1')];
+  beliefs: MachineBelief[] = [];
+  fence = new Set<number>();
+  packets: Packet[] = [];
+  late: { machine: number; message: WorkerMessage }[] = [];
+  revision = 10;
+  attempts = 0;
+  now = 0;
+  readonly answeredAt = [0, 0];
+
+  constructor() {
+    this.claim();
+  }
+
+  claim(): void {
+    this.revision += 1;
+    for (const packet of this.packets) packet.abandoned = true;
+    this.beliefs = this.workers.map(() => new MachineBelief(revision(this.revision), millis(this.now)));
+    this.fence = new Set([0, 1]);
+  }
+
+  take(machine: number, message: WorkerMessage): void {
+    const belief = this.beliefs[machine];
+    assert.ok(belief);
+    belief.take(message, millis(this.now));
+    if (belief.fenced) this.fence.delete(machine);
+  }
+
+  start(machine: number, key: TaskKey): void {
+    const belief = this.beliefs[machine];
+    if (!belief?.fenced || this.fence.size > 0 || this.packets.some((p) => p.machine === machine && !p.abandoned))
+      return;
+    if (this.beliefs.some((b) => b.possibly(key) || b.tasks.get(key)?.why === 'done')) return;
+    this.attempts += 1;
+    const number = attempt(this.revision * 2 ** 20 + this.attempts);
+    belief.noteStart(key, number);
+    this.send(machine, [{ op: 'start', key, attempt: number }]);
+  }
+
+  stop(machine: number, key: TaskKey): void {
+    const listed = this.beliefs[machine]?.tasks.get(key);
+    if (!listed || this.packets.some((p) => p.machine === machine && !p.abandoned)) return;
+    this.send(machine, [
+      { op: listed.state === 'exited' ? 'forget' : 'stop', key, attempt: listed.attempt, graceS: 0 },
+    ]);
+  }
+
+  send(machine: number, orders: readonly Order[]): void {
+    const belief = this.beliefs[machine];
+    if (!belief || this.packets.some((p) => p.machine === machine && !p.abandoned)) return;
+    this.packets.push({ machine, helm: belief.token, tide: belief.session, orders, abandoned: false });
+  }
+
+  deliver(index: number): void {
+    const packet = this.packets[index % Math.max(1, this.packets.length)];
+    if (!packet) return;
+    this.packets = this.packets.filter((p) => p !== packet);
+    const answer = this.workers[packet.machine]?.onCommands(packet.helm, packet.tide, packet.orders);
+    if (packet.abandoned || !answer) return;
+    this.take(packet.machine, answer.message);
+    this.beliefs[packet.machine]?.settleStarts(packet.orders.filter((o) => o.op === 'start').map((o) => o.key));
+  }
+
+  timeout(index: number): void {
+    const packet = this.packets[index % Math.max(1, this.packets.length)];
+    if (!packet || packet.abandoned) return;
+    packet.abandoned = true;
+    if (packet.orders.some((o) => o.op === 'start')) this.beliefs[packet.machine]?.raiseToken();
+  }
+
+  report(machine: number, delayed: boolean): void {
+    const worker = this.workers[machine];
+    const belief = this.beliefs[machine];
+    if (!worker || !belief) return;
+    const message = worker.report();
+    if (delayed) {
+      this.late.push({ machine, message });
+      return;
+    }
+    this.take(machine, message);
+    worker.onReply(belief.token, []);
+    belief.answered(millis(this.now));
+    this.answeredAt[machine] = this.now;
+  }
+
+  silence(machine: number): void {
+    this.now += LEASE * 1.01 + 300;
+    for (const [index, worker] of this.workers.entries()) {
+      // The other worker goes on reporting meanwhile.
+      if (index !== machine) this.report(index, false);
+      else if (this.now - (this.answeredAt[index] ?? 0) > LEASE) worker.expire();
+    }
+    const belief = this.beliefs[machine];
+    if (belief && this.now >= belief.expiresAt(LEASE)) {
+      belief.expire();
+      this.fence.delete(machine);
+    }
+  }
+
+  check(): void {
+    for (const key of KEYS) {
+      const on = this.workers.filter((w) => w.isOn(key)).length;
+      assert.ok(on <= 1, `${key} is on ${on} machines`);
+      this.workers.forEach((worker, index) => {
+        if (!worker.isOn(key) || this.fence.has(index)) return;
+        assert.ok(this.beliefs[index]?.possibly(key), `${key} is on m${index} and not believed to be`);
+      });
+    }
+  }
+}
+
+test('no interleaving of starts, timeouts, late packets, bumps, restarts and takeovers runs a task twice', () => {
+  const step = fc.record({
+    what: fc.constantFrom(
+      ...['start', 'start', 'start', 'start', 'start', 'stop', 'stop', 'fence', 'fence', 'timeout', 'delay', 'late'],
+      ...[
+        'deliver',
+        'deliver',
+        'deliver',
+        'deliver',
+        'deliver',
+        'report',
+        'report',
+        'report',
+        'finish',
+        'claim',
+        'silence',
+      ],
+    ),
+    machine: fc.integer({ min: 0, max: 1 }),
+    key: fc.constantFrom(...KEYS),
+    index: fc.integer({ min: 0, max: 9 }),
+  });
+  let starts = 0;
+  fc.assert(
+    fc.property(fc.array(step, { minLength: 20, maxLength: 120 }), (steps) => {
+      const world = new World();
+      for (const { what, machine, key, index } of steps) {
+        world.now += 200;
+        if (what === 'start') world.start(machine, key);
+        else if (what === 'stop') world.stop(machine, key);
+        else if (what === 'fence') world.send(machine, []);
+        else if (what === 'deliver') world.deliver(index);
+        else if (what === 'timeout') world.timeout(index);
+        else if (what === 'report') world.report(machine, false);
+        else if (what === 'delay') world.report(machine, true);
+        else if (what === 'late') {
+          const held = world.late.shift();
+          if (held) world.take(held.machine, held.message);
+        } else if (what === 'finish') world.workers[machine]?.finish(key);
+        else if (what === 'claim') world.claim();
+        else world.silence(machine);
+        world.check();
+      }
+      starts += world.workers.reduce((sum, w) => sum + w.started.length, 0);
+    }),
+    { seed: 11, numRuns: 3000 },
+  );
+  assert.ok(starts > 1000, `only ${starts} starts: the world does not reach what it should test`);
+});
+
+test('a timed-out start stays possible until a higher token is acknowledged', () => {
+  const worker = new StandInWorker('m0');
+  const belief = new MachineBelief(revision(5), millis(0));
+  const key = KEYS[0] as TaskKey;
+  worker.onReply(belief.token, []);
+  belief.take(worker.report(), millis(1));
+  assert.ok(belief.fenced);
+  belief.noteStart(key, attempt(1));
+  belief.raiseToken();
+  belief.take(worker.report(), millis(2));
+  assert.ok(belief.possibly(key), 'a report under the old token settles nothing: the command may be late');
+  worker.onReply(belief.token, []);
+  belief.take(worker.report(), millis(3));
+  assert.ok(!belief.possibly(key));
+});
+
+test('an older message never replaces a newer one, and a higher token means that we were replaced', () => {
+  const worker = new StandInWorker('m0');
+  const belief = new MachineBelief(revision(5), millis(0));
+  const first = worker.report();
+  worker.onReply(belief.token, [{ op: 'start', key: KEYS[0] as TaskKey, attempt: attempt(1) }]);
+  assert.equal(belief.take(worker.report(), millis(1)), 'taken');
+  assert.equal(belief.take(first, millis(2)), 'stale');
+  assert.ok(belief.possibly(KEYS[0] as TaskKey));
+  worker.onReply(new MachineBelief(revision(6), millis(0)).token, []);
+  assert.equal(belief.take(worker.report(), millis(3)), 'superseded');
+});
--- /dev/null
+++ b/test/input.test.ts
@@ -0,0 +1,147 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { parseSettings, SettingsError } from '../src/config/index.js';
+import { parseJobId, parseSubmission, whyNever } from '../src/jobs/index.js';
+import { decodeMessage } from '../src/workers/index.js';
+import { decodeSettings, parseTunables } from '../src/admin/index.js';
+
+export const SETTINGS = `
+node = "n-0"
+area = "z"
+serve_on = "127.0.0.1:1"
+cluster_listen = "127.0.0.1:2"
+unheard_of = 3
+[services]
+cloud = "127.0.0.1:3"
+state = "127.0.0.1:4"
+[facts]
+zones = ["z"]
+[[facts.teams]]
+name = "t"
+cpus_max = 8.0
+[facts.workers]
+report_s = 1.0
+lease_s = 10.0
+gang_wait_s = 45.0
+gang_peer_s = 5.0
+cancel_s = 35.0
+[facts.state]
+rps = 150.0
+write_rps = 20.0
+value_kb = 32.0
+txn_ops = 16
+[facts.cloud]
+rps = 4.0
+list_lag_s = 5.0
+`;
+
+const submission = {
+  ref: 'j-1',
+  jobclass: 'c',
+  owner: 't',
+  shape: 'sweep',
+  urgency: 'low',
+  pieces: 2,
+  vcpus: 2.0,
+  accelerators: 0.0,
+  ram_gb: 4.0,
+  bundle: 'i',
+  pull_gb: 1.0,
+  hulls: null,
+  expected_s: 10.0,
+};
+
+test('settings: unknown fields are ignored; what is missing or wrong is named in one line', () => {
+  assert.equal(parseSettings(SETTINGS).workers.leaseMs, 10_000);
+  const wrong: [RegExp, string][] = [
+    [/^serve_on: /, SETTINGS.replace('serve_on = "127.0.0.1:1"', 'serve_on = "nowhere"')],
+    [/^node: /, SETTINGS.replace('node = "n-0"', '')],
+    [/^facts\.workers\.lease_s: /, SETTINGS.replace('lease_s = 10.0', 'lease_s = "long"')],
+    [/^not valid TOML: /, 'node = '],
+  ];
+  for (const [pattern, toml] of wrong) {
+    assert.throws(
+      () => parseSettings(toml),
+      (error: unknown) =>
+        error instanceof SettingsError && pattern.test(error.message) && !error.message.includes('\n'),
+    );
+  }
+});
+
+test('submissions: each missing, wrong or out-of-range field is refused by name', () => {
+  assert.ok(parseSubmission(submission).ok);
+  const wrong: Record<string, unknown> = {
+    ref: 'x-1',
+    jobclass: 7,
+    owner: null,
+    shape: 'array',
+    urgency: 'normal',
+    pieces: 100_001,
+    vcpus: -1,
+    ram_gb: '4',
+    hulls: 'small',
+    expected_s: Infinity,
+  };
+  for (const [field, value] of Object.entries(wrong)) {
+    const parsed = parseSubmission({ ...submission, [field]: value });
+    assert.ok(!parsed.ok && parsed.reason.startsWith(field), field);
+  }
+  for (const body of [null, [], 'text', 3, {}]) assert.ok(!parseSubmission(body).ok);
+});
+
+test('ids of no valid form name no job', () => {
+  assert.equal(parseJobId('j-000412'), 'j-000412');
+  for (const id of ['', 'j-', 'j-1/2', 'k-1', 'j-a b', '../live', `j-${'9'.repeat(200)}`])
+    assert.equal(parseJobId(id), null);
+});
+
+test('a job that can never run is refused with the reason', () => {
+  const types = [
+    {
+      name: 's',
+      cpus: 4,
+      gpus: 0,
+      memoryGb: 8,
+      cacheGb: 1,
+      fetchGbPerS: 1,
+      price: 1,
+      spotPrice: 1,
+      bootS: 1,
+      zones: ['z'],
+    },
+  ];
+  const teams = parseSettings(SETTINGS).teams;
+  const why = (over: object): string | null => {
+    const parsed = parseSubmission({ ...submission, ...over });
+    assert.ok(parsed.ok);
+    return whyNever(parsed.spec, teams, types);
+  };
+  assert.equal(why({}), null);
+  assert.match(why({ owner: 'u' }) ?? '', /unknown team/);
+  assert.match(why({ vcpus: 5.0 }) ?? '', /fits no allowed machine type/);
+  assert.match(why({ hulls: ['other'] }) ?? '', /fits no allowed machine type/);
+  // An array needs one task within the limit, a gang and a service all of them.
+  assert.equal(why({ pieces: 50, vcpus: 4.0 }), null);
+  assert.match(why({ pieces: 3, vcpus: 4.0, shape: 'ensemble' }) ?? '', /cpus/);
+});
+
+test('reports of any form are read or refused, never thrown on', () => {
+  fc.assert(
+    fc.property(fc.jsonValue(), fc.jsonValue(), (a, b) => {
+      const message = decodeMessage({ drifter: 'm', tide: 1, tally: 1, helm: 0, recall_s: a, pieces: b });
+      assert.ok(message === null || message.machine === 'm');
+      assert.equal(decodeMessage(a as unknown) === undefined, false);
+    }),
+    { seed: 9, numRuns: 500 },
+  );
+  assert.equal(decodeMessage({ drifter: 'm', tide: -1, tally: 1, helm: 0 }), null);
+});
+
+test("operators' tunables are checked, and what is stored garbled falls back to the defaults", () => {
+  assert.deepEqual(parseTunables({ alpha: 0.4 }), { ok: true, patch: { alpha: 0.4 } });
+  for (const body of [{ alpha: -1 }, { mu: 2 }, { gamma: 1 }, [], 'x', null]) assert.ok(!parseTunables(body).ok);
+  const settings = decodeSettings({ tunables: { alpha: 'high' }, cordoned: ['m-1', 4] });
+  assert.equal(settings.tunables.alpha, 0.5);
+  assert.deepEqual([...settings.cordoned], ['m-1']);
+});
--- /dev/null
+++ b/test/placement.test.ts
@@ -0,0 +1,249 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { jobId, machineId, type MachineId } from '../src/kernel/index.js';
+import { Priority, zoneLimit, type JobKind, type JobSpec } from '../src/jobs/index.js';
+import {
+  planPlacement,
+  type MachineView,
+  type PendingJob,
+  type PlanInput,
+  type Stoppable,
+} from '../src/placement/index.js';
+
+export function spec(over: Partial<Omit<JobSpec, 'id'>> & { id: string }): JobSpec {
+  return {
+    jobClass: 'c',
+    team: 't',
+    kind: 'array',
+    priority: Priority.normal,
+    tasks: 1,
+    cpus: 1,
+    gpus: 0,
+    memoryGb: 1,
+    types: null,
+    zone: null,
+    oneZone: false,
+    spread: false,
+    spot: false,
+    image: 'i',
+    imageGb: 1,
+    estimateS: 10,
+    checkpointS: 0,
+    saveS: 0,
+    deadlineS: null,
+    ...over,
+    id: jobId(over.id),
+  };
+}
+
+function machine(id: string, over: Partial<MachineView> = {}): MachineView {
+  return {
+    id: machineId(id),
+    type: 'small',
+    zone: 'a',
+    spot: false,
+    cpus: 4,
+    gpus: 0,
+    memoryGb: 8,
+    freeCpus: 4,
+    freeGpus: 0,
+    freeMemoryGb: 8,
+    usable: true,
+    images: new Set(),
+    fetchGbPerS: 1,
+    fetching: 0,
+    cpuPrice: 0.1,
+    suspicion: 0,
+    running: [],
+    ...over,
+  };
+}
+
+function pending(s: JobSpec, over: Partial<PendingJob> = {}): PendingJob {
+  return {
+    spec: s,
+    ready: Array.from({ length: s.tasks }, (_, i) => i),
+    zoneUse: new Map(),
+    machineUse: new Map(),
+    avoid: new Set<MachineId>(),
+    slackS: 60,
+    waitedS: 1,
+    ...over,
+  };
+}
+
+const input = (machines: MachineView[], jobs: PendingJob[], over: Partial<PlanInput> = {}): PlanInput => ({
+  machines,
+  pending: jobs,
+  teams: new Map(),
+  maxStarts: 1000,
+  ...over,
+});
+
+/** Plays a plan start by start against the plain rules; says what is wrong with it. */
+function slowCheck(given: PlanInput): { problems: string[]; starts: number } {
+  const plan = planPlacement(given);
+  const problems: string[] = [];
+  const free = new Map(
+    given.machines.map((m) => [m.id, { cpus: m.freeCpus, gpus: m.freeGpus, memory: m.freeMemoryGb }]),
+  );
+  const zones = new Map(given.pending.map((p) => [p.spec.id, new Map(p.zoneUse)]));
+  const teamCpus = new Map([...given.teams].map(([name, use]) => [name, use.cpus]));
+  const seen = new Set<string>();
+  for (const start of plan.starts) {
+    const job = given.pending.find((p) => p.spec.id === start.job);
+    const m = given.machines.find((x) => x.id === start.machine);
+    const left = free.get(start.machine);
+    const use = zones.get(start.job);
+    if (!job || !m || !left || !use) return { problems: ['unknown job or machine'], starts: 0 };
+    const s = job.spec;
+    const name = `${start.job}/${start.index}`;
+    if (seen.has(name) || !job.ready.includes(start.index)) problems.push(`${name} twice or not ready`);
+    seen.add(name);
+    if (!m.usable) problems.push(`${name} on an unusable machine`);
+    if (s.types && !s.types.includes(m.type)) problems.push(`${name} type`);
+    if (s.zone && s.zone !== m.zone) problems.push(`${name} zone`);
+    if (m.spot && !s.spot) problems.push(`${name} spot`);
+    if (s.oneZone && [...use].some(([z, n]) => n > 0 && z !== m.zone)) problems.push(`${name} one zone`);
+    use.set(m.zone, (use.get(m.zone) ?? 0) + 1);
+    if (s.spread && (use.get(m.zone) ?? 0) > zoneLimit(s)) problems.push(`${name} spread`);
+    left.cpus -= s.cpus;
+    left.gpus -= s.gpus;
+    left.memory -= s.memoryGb;
+    if (left.cpus < -1e-5 || left.gpus < -1e-5 || left.memory < -1e-5) problems.push(`${name} overbooks ${m.id}`);
+    const limit = given.teams.get(s.team);
+    if (limit) {
+      const cpus = (teamCpus.get(s.team) ?? 0) + s.cpus;
+      teamCpus.set(s.team, cpus);
+      if (limit.cpusMax > 0 && cpus > limit.cpusMax + 1e-5) problems.push(`${name} over its team's limit`);
+    }
+  }
+  for (const p of given.pending) {
+    const started = plan.starts.filter((s) => s.job === p.spec.id).length;
+    if (p.spec.kind === 'gang' && started !== 0 && started !== p.ready.length)
+      problems.push(`${p.spec.id} gang in part`);
+  }
+  for (const stop of plan.stops) {
+    const victim = given.machines.flatMap((m) => m.running).find((r) => r.job === stop.job && r.index === stop.index);
+    const forJob = given.pending.find((p) => p.spec.id === stop.forJob);
+    if (!victim || !forJob || victim.priority >= forJob.spec.priority)
+      problems.push('preempts equal or higher priority');
+  }
+  // One task alone: it is placed exactly when some machine can take it.
+  const [only] = given.pending;
+  if (given.pending.length === 1 && only?.ready.length === 1 && given.teams.size === 0) {
+    const s = only.spec;
+    const can = given.machines.some(
+      (m) =>
+        m.usable &&
+        (!s.types || s.types.includes(m.type)) &&
+        (!s.zone || s.zone === m.zone) &&
+        (!m.spot || s.spot) &&
+        s.cpus <= m.freeCpus &&
+        s.gpus <= m.freeGpus &&
+        s.memoryGb <= m.freeMemoryGb &&
+        (s.gpus > 0 || m.freeGpus === 0),
+    );
+    if (can !== (plan.starts.length === 1))
+      problems.push(can ? 'found no room that is there' : 'found room that is not');
+  }
+  return { problems, starts: plan.starts.length };
+}
+
+test('a plan keeps every rule of the slow plain model', () => {
+  const kinds: JobKind[] = ['array', 'gang', 'service'];
+  const anySpec = fc
+    .record({
+      kind: fc.constantFrom(...kinds),
+      priority: fc.constantFrom(Priority.low, Priority.normal, Priority.production),
+      tasks: fc.integer({ min: 1, max: 5 }),
+      cpus: fc.integer({ min: 1, max: 4 }),
+      gpus: fc.constantFrom(0, 0, 0, 1),
+      memoryGb: fc.integer({ min: 1, max: 5 }),
+      types: fc.constantFrom(null, null, ['small'], ['big']),
+      zone: fc.constantFrom(null, null, 'a'),
+      oneZone: fc.boolean(),
+      spread: fc.boolean(),
+      spot: fc.boolean(),
+    })
+    .map((s) => ({ ...s, spread: s.spread && !s.oneZone }));
+  const anyMachine = fc.record({
+    type: fc.constantFrom('small', 'big'),
+    zone: fc.constantFrom('a', 'b'),
+    spot: fc.boolean(),
+    freeCpus: fc.integer({ min: 0, max: 8 }),
+    freeGpus: fc.constantFrom(0, 0, 2),
+    freeMemoryGb: fc.integer({ min: 0, max: 12 }),
+    usable: fc.constantFrom(true, true, true, false),
+    suspicion: fc.constantFrom(0, 0, 1),
+  });
+  let starts = 0;
+  fc.assert(
+    fc.property(
+      fc.array(anyMachine, { minLength: 1, maxLength: 5 }),
+      fc.array(anySpec, { minLength: 1, maxLength: 4 }),
+      fc.constantFrom(0, 0, 6),
+      (machines, specs, limit) => {
+        const victim = (i: number): Stoppable => ({
+          job: jobId(`j-low${i}`),
+          index: 0,
+          priority: i % 2 === 0 ? Priority.low : Priority.production,
+          cpus: 2,
+          gpus: 0,
+          memoryGb: 2,
+          lossS: 1,
+          stopping: false,
+        });
+        const result = slowCheck(
+          input(
+            machines.map((m, i) =>
+              machine(`m${i}`, { ...m, cpus: 8, gpus: m.freeGpus, memoryGb: 12, running: [victim(i)] }),
+            ),
+            specs.map((s, i) => pending(spec({ id: `j-${i}`, ...s }))),
+            { teams: limit > 0 ? new Map([['t', { cpus: 1, gpus: 0, cpusMax: limit, gpusMax: 0 }]]) : new Map() },
+          ),
+        );
+        starts += result.starts;
+        assert.deepEqual(result.problems, []);
+      },
+    ),
+    { seed: 3, numRuns: 2000 },
+  );
+  assert.ok(starts > 500, `only ${starts} starts`);
+});
+
+test('a service gets room at once from low work, which a gang leaves time to save', () => {
+  const low: Stoppable = {
+    job: jobId('j-low'),
+    index: 0,
+    priority: Priority.low,
+    cpus: 4,
+    gpus: 0,
+    memoryGb: 4,
+    lossS: 1,
+    stopping: false,
+  };
+  const full = machine('m0', { freeCpus: 0, freeMemoryGb: 4, running: [low] });
+  const service = pending(spec({ id: 'j-s', kind: 'service', priority: Priority.production, cpus: 2 }));
+  const plan = planPlacement(input([full], [service]));
+  assert.deepEqual(plan.stops, [{ job: 'j-low', index: 0, machine: 'm0', forJob: 'j-s', atOnce: true }]);
+  assert.deepEqual(plan.unplaced, []);
+  // Next round: the room is on its way, so nothing more is stopped.
+  const again = planPlacement(input([{ ...full, running: [{ ...low, stopping: true }] }], [service]));
+  assert.deepEqual(again.stops, []);
+  const gang = pending(spec({ id: 'j-g', kind: 'gang', priority: Priority.normal, cpus: 2, tasks: 2 }));
+  const forGang = planPlacement(input([full], [gang]));
+  assert.deepEqual(
+    forGang.stops.map((s) => s.atOnce),
+    [false],
+  );
+});
+
+test('machines with free accelerators take other work only if it gives way', () => {
+  const theatre = machine('m0', { freeGpus: 2, gpus: 2 });
+  const plain = planPlacement(input([theatre], [pending(spec({ id: 'j-a' }))]));
+  assert.equal(plain.starts.length, 0);
+  const yielding = spec({ id: 'j-a', priority: Priority.low, checkpointS: 15 });
+  assert.equal(planPlacement(input([theatre], [pending(yielding)])).starts.length, 1);
+});
