--- a/src/holder/holder.ts
+++ b/src/holder/holder.ts
@@ -23,7 +23,15 @@
 } from '../kernel/index.js';
 import { decodeShard, encodeShard, settleShard, type PreviousHolder, type ShardValue } from '../membership/index.js';
 import type { DemandSummary, MachineSummary, ShardSummary } from '../peers/index.js';
-import { planPlacement, type MachineView, type PendingJob, type Stoppable, type TeamUse } from '../placement/index.js';
+import {
+  allowedKind,
+  planPlacement,
+  type MachineView,
+  type PendingJob,
+  type Reserve,
+  type Stoppable,
+  type TeamUse,
+} from '../placement/index.js';
 import { chooseRestarts, flagTasks, median, resourceR, type Flag, type Tunables } from '../speculation/index.js';
 import { JOBS, jobKey, shardKey, Urgency, type Change, type Mirror, type StateClient } from '../state/index.js';
 import { encodeRedirect, encodeReply, type ListedTask, type Order, type WorkerMessage } from '../workers/index.js';
@@ -60,6 +68,11 @@
   readonly body: unknown;
 }
 
+const maxReserve = (a: Reserve | null, b: Reserve): Reserve => ({
+  cpus: Math.max(a?.cpus ?? 0, b.cpus),
+  memoryGb: Math.max(a?.memoryGb ?? 0, b.memoryGb),
+});
+
 const MAX_READY = 100;
 const PROGRESS_EVERY_MS = 1500;
 const STOP_AGAIN_MS = 2500;
@@ -81,6 +94,7 @@
   private frozen = false;
   private demand: DemandSummary[] = [];
   private lastSpeculation: Millis;
+  private largestGpuTask: Reserve | null = null;
   private dropped = false;
 
   constructor(
@@ -675,19 +689,68 @@
     };
   }
 
-  /** Seconds until the job gets late, by its deadline or its class's aim. */
-  private slackOf(run: JobRun): number {
+  /** Seconds until the job misses its next aim, by its deadline or its class's aims. */
+  private slackOf(run: JobRun): { slackS: number; late: boolean } {
     const { spec } = run;
     const sinceS = (this.deps.clock.wall() - run.submittedAt) / 1000;
     const runS = median(run.finishedRunsS) ?? spec.estimateS;
-    if (spec.deadlineS !== null) return spec.deadlineS - sinceS - runS;
-    let within = Infinity;
-    for (const o of this.deps.settings.objectives) {
-      if (o.jobClass !== spec.jobClass || o.withinS === null) continue;
-      if (o.kind === 'wait') within = Math.min(within, o.withinS);
-      if (o.kind === 'finished') within = Math.min(within, o.withinS - runS);
+    const times: number[] = [];
+    if (spec.deadlineS !== null) times.push(spec.deadlineS - runS);
+    else {
+      for (const o of this.deps.settings.objectives) {
+        if (o.jobClass !== spec.jobClass || o.withinS === null) continue;
+        if (o.kind === 'wait') times.push(o.withinS);
+        if (o.kind === 'finished') times.push(o.withinS - runS);
+      }
+      if (times.length === 0) times.push(120);
+    }
+    const ahead = times.map((t) => t - sinceS).filter((t) => t >= 0);
+    if (ahead.length > 0) return { slackS: Math.min(...ahead), late: false };
+    return { slackS: Math.max(...times) - sinceS, late: true };
+  }
+
+  private workOf(run: JobRun): number {
+    const runS = Math.max(1, median(run.finishedRunsS) ?? run.spec.estimateS);
+    return (run.spec.tasks - run.done.count) * runS * run.spec.cpus;
+  }
+
+  /** The largest task with accelerators that was seen: what other work leaves room for. */
+  private reserve(): Reserve | null {
+    for (const run of this.jobs.values()) {
+      if (run.spec.gpus > 0) this.largestGpuTask = maxReserve(this.largestGpuTask, run.spec);
+    }
+    return this.largestGpuTask;
+  }
+
+  /** Services that had to borrow from accelerators are moved off, one at a time, once there is room. */
+  private moveOffAccelerators(views: readonly MachineView[], reserve: Reserve | null): DemandSummary[] {
+    const demand: DemandSummary[] = [];
+    let moved = false;
+    for (const view of views) {
+      if (view.gpus <= 0 || view.freeGpus <= 0) continue;
+      if (reserve && view.freeCpus >= reserve.cpus && view.freeMemoryGb >= reserve.memoryGb) continue;
+      for (const run of this.jobs.values()) {
+        if (run.ended || run.spec.kind !== 'service') continue;
+        for (const active of run.active.values()) {
+          if (active.machine !== view.id || active.stopping) continue;
+          const room = views.some(
+            (v) =>
+              v.gpus <= 0 &&
+              v.usable &&
+              v.suspicion === 0 &&
+              allowedKind(run.spec, v) &&
+              v.freeCpus >= run.spec.cpus &&
+              v.freeMemoryGb >= run.spec.memoryGb,
+          );
+          if (!room) demand.push({ job: run.id, missing: 1, running: 0, slackS: 30, estimateS: 0 });
+          else if (!moved && active.state === 'running' && !run.spec.oneZone && !run.spec.spread) {
+            this.stop(run, active, 'drain');
+            moved = true;
+          }
+        }
+      }
     }
-    return (Number.isFinite(within) ? within : 120) - sinceS;
+    return demand;
   }
 
   /** Only teams with a limit; everything possibly there counts. */
@@ -739,14 +802,16 @@
         zoneUse,
         machineUse,
         avoid: run.avoid,
-        slackS: this.slackOf(run),
-        waitedS: (now - run.seenAt) / 1000,
+        ...this.slackOf(run),
+        workS: this.workOf(run),
       });
     }
     const views = [...this.machines.values()]
       .map((m) => this.viewOf(m, now))
       .filter((v): v is MachineView => v !== null);
-    const plan = planPlacement({ machines: views, pending, teams, maxStarts: 200 });
+    const reserve = this.reserve();
+    const plan = planPlacement({ machines: views, pending, teams, maxStarts: 200, reserve });
+    const misplaced = this.moveOffAccelerators(views, reserve);
     for (const stop of plan.stops) {
       const run = this.jobs.get(stop.job);
       const active = run?.active.get(stop.index);
@@ -783,6 +848,7 @@
       orders.set(start.machine, list);
     }
     this.noteDemand(plan.unplaced, now);
+    this.demand.push(...misplaced);
   }
 
   /** A task may be started only if it is possibly nowhere. */
@@ -806,7 +872,7 @@
         job,
         missing,
         running: run.runningCount,
-        slackS: this.slackOf(run),
+        slackS: this.slackOf(run).slackS,
         estimateS: median(run.finishedRunsS) ?? run.spec.estimateS,
       });
       if (now - run.unplacedSince > MOVE_AFTER_MS) this.moveElsewhere(run, count);
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -50,9 +50,12 @@
   readonly machineUse: ReadonlyMap<MachineId, number>;
   /** Machines where this job's tasks have failed. */
   readonly avoid: ReadonlySet<MachineId>;
-  /** Seconds until it gets late; null: no aim of its own. */
-  readonly slackS: number | null;
-  readonly waitedS: number;
+  /** Seconds until it misses its next aim. */
+  readonly slackS: number;
+  /** Too late for every aim: it goes behind what can still be in time. */
+  readonly late: boolean;
+  /** Work that is left, in cpu-seconds. */
+  readonly workS: number;
 }
 
 export interface TeamUse {
@@ -68,6 +71,13 @@
   /** Only teams that have a limit. */
   readonly teams: ReadonlyMap<string, TeamUse>;
   readonly maxStarts: number;
+  /** What the largest known task with accelerators takes beside them; null: none is known. */
+  readonly reserve: Reserve | null;
+}
+
+export interface Reserve {
+  readonly cpus: number;
+  readonly memoryGb: number;
 }
 
 export interface PlannedStart {
@@ -107,14 +117,20 @@
   fetching: Set<string>;
 }
 
-/** Services first, then by priority, then what gets late first. */
+/**
+ * Under too much load, earliest-due-first makes everything late. So jobs with a deadline go by
+ * slack, all others by the work that is left: short jobs are through before long ones notice.
+ */
+const rank = (job: PendingJob): number => (job.spec.deadlineS === null ? job.workS / 16 : job.slackS);
+
+/** Services first, then by priority, then what can still be in time. */
 export function pendingOrder(a: PendingJob, b: PendingJob): number {
   const service = Number(b.spec.kind === 'service') - Number(a.spec.kind === 'service');
   if (service !== 0) return service;
   if (a.spec.priority !== b.spec.priority) return b.spec.priority - a.spec.priority;
-  const slack = (a.slackS ?? 1e9) - (b.slackS ?? 1e9);
-  if (slack !== 0) return slack;
-  if (a.waitedS !== b.waitedS) return b.waitedS - a.waitedS;
+  if (a.late !== b.late) return Number(a.late) - Number(b.late);
+  const byRank = rank(a) - rank(b);
+  if (byRank !== 0) return byRank;
   return a.spec.id < b.spec.id ? -1 : 1;
 }
 
@@ -134,12 +150,24 @@
   if (spec.cpus > room.cpus + EPSILON) return false;
   if (spec.gpus > room.gpus + EPSILON) return false;
   if (spec.memoryGb > room.memoryGb + EPSILON) return false;
-  return spec.gpus > 0 || room.gpus < EPSILON || mayBorrow(spec);
+  return true;
+}
+
+/** Does the task leave a machine with free accelerators enough for a task that needs them? */
+export function leavesReserve(
+  spec: JobSpec,
+  room: { readonly cpus: number; readonly gpus: number; readonly memoryGb: number },
+  reserve: Reserve | null,
+): boolean {
+  if (spec.gpus > 0 || room.gpus < EPSILON) return true;
+  if (!reserve) return false;
+  return room.cpus - spec.cpus + EPSILON >= reserve.cpus && room.memoryGb - spec.memoryGb + EPSILON >= reserve.memoryGb;
 }
 
 /**
  * Free accelerators keep their machine's cpus: other work takes what a job with accelerators
- * leaves, but for work that gives way and loses little: of low priority, with checkpoints.
+ * leaves. Work that gives way and loses little may take more: of low priority, with checkpoints.
+ * So may services that find no other room; they are moved off again.
  */
 export const mayBorrow = (spec: JobSpec): boolean =>
   spec.gpus <= 0 && spec.kind === 'array' && spec.priority === Priority.low && spec.checkpointS > 0;
@@ -239,7 +267,9 @@
       let bestScore = Infinity;
       for (const room of candidates) {
         if (!fits(spec, room) || !allowedZone(spec, room.view.zone, zoneUse)) continue;
-        const s = score(spec, room, machineUse.get(room.view.id) ?? 0, job.avoid.has(room.view.id));
+        const leaves = leavesReserve(spec, room, input.reserve);
+        if (!leaves && !mayBorrow(spec) && spec.kind !== 'service') continue;
+        const s = score(spec, room, machineUse.get(room.view.id) ?? 0, job.avoid.has(room.view.id)) + (leaves ? 0 : 40);
         if (s < bestScore) {
           best = room;
           bestScore = s;
--- /dev/null
+++ b/test/registry.test.ts
@@ -0,0 +1,130 @@
+import assert from 'node:assert/strict';
+import { after, test } from 'node:test';
+import { createLogger, jobId, shardName, systemClock, type JobId } from '../src/kernel/index.js';
+import { JobRegistry } from '../src/jobs/index.js';
+import { finalKey, jobKey, LIVE, Mirror, StateClient } from '../src/state/index.js';
+import type { MachineType } from '../src/cloud/index.js';
+import { spec } from './standins/jobs.js';
+import { StandInState } from './standins/state.js';
+
+const log = createLogger('silent', 'test');
+const state = new StandInState();
+const address = await state.start();
+after(() => state.stop());
+
+const small: MachineType = {
+  name: 'small',
+  cpus: 4,
+  gpus: 0,
+  memoryGb: 8,
+  cacheGb: 10,
+  fetchGbPerS: 1,
+  price: 1,
+  spotPrice: 1,
+  bootS: 10,
+  zones: ['a'],
+};
+
+interface Desk {
+  readonly registry: JobRegistry;
+  readonly cancelled: JobId[];
+  types: MachineType[] | null;
+}
+
+/** One controller's registry; each has its own client and mirror, as each controller has. */
+function desk(): Desk {
+  const client = new StateClient(address, { rps: 1000, writeRps: 1000 }, log);
+  const cancelled: JobId[] = [];
+  const made: Desk = {
+    cancelled,
+    types: [small],
+    registry: new JobRegistry(
+      client,
+      new Mirror(client, LIVE, log),
+      new Map([['t', { cpus: 0, cpusMax: 0, gpus: 0, gpusMax: 0 }]]),
+      {
+        types: () => made.types,
+        chooseShard: () => shardName('n-0'),
+        running: () => ({ running: 0, done: 0 }),
+        cancelled: (id) => cancelled.push(id),
+      },
+      systemClock,
+      log,
+    ),
+  };
+  return made;
+}
+
+test('a job is accepted once, and any node knows it', async () => {
+  const [a, b] = [desk(), desk()];
+  const job = spec({ id: 'j-1' });
+  assert.equal((await a.registry.submit(job)).kind, 'created');
+  assert.equal((await a.registry.submit(job)).kind, 'known');
+  assert.equal((await b.registry.submit(job)).kind, 'known');
+  assert.equal((await b.registry.query(jobId('j-1'))).kind, 'known');
+  assert.equal((await b.registry.query(jobId('j-none'))).kind, 'absent');
+});
+
+test('a write without an answer is never guessed at', async () => {
+  const a = desk();
+  state.faults.push('lost-answer');
+  assert.equal((await a.registry.submit(spec({ id: 'j-2' }))).kind, 'known', 'it was executed, and is read back');
+  state.faults.push('lost-request');
+  assert.equal((await a.registry.submit(spec({ id: 'j-3' }))).kind, 'later', 'it may be applied yet: no promise');
+  assert.equal(state.keys.has(jobKey(jobId('j-3'))), false);
+  assert.equal((await a.registry.submit(spec({ id: 'j-3' }))).kind, 'created');
+});
+
+test('without the state service the answer is to come back later, at once', async () => {
+  const a = desk();
+  state.down = true;
+  for (const outcome of [
+    await a.registry.submit(spec({ id: 'j-4' })),
+    await a.registry.query(jobId('j-1')),
+    await a.registry.cancel(jobId('j-1')),
+  ]) {
+    assert.equal(outcome.kind, 'later');
+  }
+  state.down = false;
+});
+
+test('an ended job stays ended for every node, and a cancellation never undoes a completion', async () => {
+  const [a, b] = [desk(), desk()];
+  const id = jobId('j-5');
+  await a.registry.submit(spec({ id }));
+  const looked = await b.registry.look(id);
+  assert.ok(looked.kind === 'open');
+  assert.equal(await b.registry.end(id, looked.version, { phase: 'done', done: 1 }, 1000), 'ok');
+  const answer = await a.registry.cancel(id);
+  assert.ok(answer.kind === 'known' && answer.view.phase === 'done');
+  const again = await a.registry.submit(spec({ id }));
+  assert.ok(again.kind === 'known' && again.view.phase === 'done');
+  assert.equal(state.keys.has(jobKey(id)), false);
+  assert.equal(state.keys.has(finalKey(id)), true);
+  assert.deepEqual(a.cancelled, []);
+});
+
+test('a cancellation wins against progress that another node has just written', async () => {
+  const a = desk();
+  const id = jobId('j-6');
+  await a.registry.submit(spec({ id, tasks: 4 }));
+  const stale = await a.registry.look(id);
+  assert.ok(stale.kind === 'open');
+  state.put(jobKey(id), state.keys.get(jobKey(id))?.value);
+  assert.equal(await a.registry.end(id, stale.version, { phase: 'done', done: 4 }, 1000), 'conflict');
+  const answer = await a.registry.cancel(id);
+  assert.ok(answer.kind === 'known' && answer.view.phase === 'cancelled');
+  assert.deepEqual(a.cancelled, [id]);
+});
+
+test('an accepted job is known whatever settings and machine types say now', async () => {
+  const a = desk();
+  const job = spec({ id: 'j-7', cpus: 4 });
+  await a.registry.submit(job);
+  a.types = [{ ...small, cpus: 1 }];
+  assert.equal((await a.registry.submit(job)).kind, 'known');
+  assert.equal((await a.registry.submit(spec({ id: 'j-8', cpus: 4 }))).kind, 'never');
+  a.types = null;
+  assert.equal((await a.registry.submit(job)).kind, 'known');
+  assert.equal((await a.registry.submit(spec({ id: 'j-9' }))).kind, 'later');
+});
