--- a/src/holder/holder.ts
+++ b/src/holder/holder.ts
@@ -24,7 +24,6 @@
 import { decodeShard, encodeShard, settleShard, type PreviousHolder, type ShardValue } from '../membership/index.js';
 import type { DemandSummary, MachineSummary, ShardSummary } from '../peers/index.js';
 import {
-  allowedKind,
   planPlacement,
   type MachineView,
   type PendingJob,
@@ -78,6 +77,7 @@
 const STOP_AGAIN_MS = 2500;
 const MOVE_AFTER_MS = 1200;
 const LEAVE_WITHIN_MS = 10_000;
+const BLIND_AFTER_MS = 4000;
 
 /**
  * Holds one shard: its open jobs and its block of machines. What is wanted comes from the state
@@ -94,6 +94,7 @@
   private frozen = false;
   private demand: DemandSummary[] = [];
   private lastSpeculation: Millis;
+  private readonly since: Millis;
   private largestGpuTask: Reserve | null = null;
   private dropped = false;
 
@@ -106,6 +107,7 @@
   ) {
     const now = deps.clock.now();
     this.lastSpeculation = now;
+    this.since = now;
     this.proof = previous === null ? now : null;
     this.syncBlock(value, claimedAt);
     for (const id of this.machines.keys()) this.claimFence.add(id);
@@ -689,8 +691,8 @@
     };
   }
 
-  /** Seconds until the job misses its next aim, by its deadline or its class's aims. */
-  private slackOf(run: JobRun): { slackS: number; late: boolean } {
+  /** Seconds until the job misses its next and its last aim, by its deadline or its class's aims. */
+  private slackOf(run: JobRun): { slackS: number; lastSlackS: number } {
     const { spec } = run;
     const sinceS = (this.deps.clock.wall() - run.submittedAt) / 1000;
     const runS = median(run.finishedRunsS) ?? spec.estimateS;
@@ -705,8 +707,8 @@
       if (times.length === 0) times.push(120);
     }
     const ahead = times.map((t) => t - sinceS).filter((t) => t >= 0);
-    if (ahead.length > 0) return { slackS: Math.min(...ahead), late: false };
-    return { slackS: Math.max(...times) - sinceS, late: true };
+    const lastSlackS = Math.max(...times) - sinceS;
+    return { slackS: ahead.length > 0 ? Math.min(...ahead) : lastSlackS, lastSlackS };
   }
 
   private workOf(run: JobRun): number {
@@ -722,37 +724,6 @@
     return this.largestGpuTask;
   }
 
-  /** Services that had to borrow from accelerators are moved off, one at a time, once there is room. */
-  private moveOffAccelerators(views: readonly MachineView[], reserve: Reserve | null): DemandSummary[] {
-    const demand: DemandSummary[] = [];
-    let moved = false;
-    for (const view of views) {
-      if (view.gpus <= 0 || view.freeGpus <= 0) continue;
-      if (reserve && view.freeCpus >= reserve.cpus && view.freeMemoryGb >= reserve.memoryGb) continue;
-      for (const run of this.jobs.values()) {
-        if (run.ended || run.spec.kind !== 'service') continue;
-        for (const active of run.active.values()) {
-          if (active.machine !== view.id || active.stopping) continue;
-          const room = views.some(
-            (v) =>
-              v.gpus <= 0 &&
-              v.usable &&
-              v.suspicion === 0 &&
-              allowedKind(run.spec, v) &&
-              v.freeCpus >= run.spec.cpus &&
-              v.freeMemoryGb >= run.spec.memoryGb,
-          );
-          if (!room) demand.push({ job: run.id, missing: 1, running: 0, slackS: 30, estimateS: 0 });
-          else if (!moved && active.state === 'running' && !run.spec.oneZone && !run.spec.spread) {
-            this.stop(run, active, 'drain');
-            moved = true;
-          }
-        }
-      }
-    }
-    return demand;
-  }
-
   /** Only teams with a limit; everything possibly there counts. */
   private teamUse(): Map<string, TeamUse> {
     const use = new Map<string, TeamUse>();
@@ -811,7 +782,6 @@
       .filter((v): v is MachineView => v !== null);
     const reserve = this.reserve();
     const plan = planPlacement({ machines: views, pending, teams, maxStarts: 200, reserve });
-    const misplaced = this.moveOffAccelerators(views, reserve);
     for (const stop of plan.stops) {
       const run = this.jobs.get(stop.job);
       const active = run?.active.get(stop.index);
@@ -848,7 +818,6 @@
       orders.set(start.machine, list);
     }
     this.noteDemand(plan.unplaced, now);
-    this.demand.push(...misplaced);
   }
 
   /** A task may be started only if it is possibly nowhere. */
@@ -981,14 +950,36 @@
     machine.leaving = null;
   }
 
-  /** Gives the shard back to its own node: only when everything in it is known and quiet. */
-  async handBack(): Promise<boolean> {
+  /** Most of the block is silent for reports and commands alike: more likely our network than theirs. */
+  get blind(): boolean {
+    const now = this.deps.clock.now();
+    if (this.machines.size < 2 || now - this.since < BLIND_AFTER_MS) return false;
+    let silent = 0;
+    for (const machine of this.machines.values()) {
+      const silentMs = now - machine.belief.lastHeardAt;
+      if (machine.courier.failures >= 1 && silentMs > 2.5 * this.deps.settings.workers.reportMs + 1500) silent += 1;
+    }
+    return silent > this.machines.size * 0.6;
+  }
+
+  /** May the shard change hands without anybody noticing: everything in it is known and heard? */
+  get quiet(): boolean {
+    if (!this.fenced) return false;
     const now = this.deps.clock.now();
-    if (this.frozen || !this.fenced) return false;
     for (const machine of this.machines.values()) {
       if (!machine.belief.fenced || !machine.courier.idle || machine.belief.pendingStarts.size > 0) return false;
       if (machine.leaving || now - machine.belief.lastHeardAt > 2 * this.deps.settings.workers.reportMs) return false;
     }
+    return true;
+  }
+
+  /**
+   * Gives the shard up by a write: from there on this node commands nothing and answers no report,
+   * so whoever claims it counts the workers' leases from that write.
+   */
+  async giveUp(why: string): Promise<boolean> {
+    if (this.frozen) return false;
+    for (const machine of this.machines.values()) if ((machine.leaving?.since ?? 0) < 0) return false;
     for (const run of this.jobs.values()) if (run.storing || run.moving) return false;
     const own = this.deps.mirror.get(shardKey(this.shard));
     const value = own ? decodeShard(own.value) : null;
@@ -1001,7 +992,7 @@
       [{ put: shardKey(this.shard), value: next }],
     );
     if (result.kind === 'ok') {
-      this.deps.log.info({ shard: this.shard }, 'handing a shard back to its own node');
+      this.deps.log.info({ shard: this.shard, why }, 'giving a shard up');
       this.deps.mirror.apply({ key: shardKey(this.shard), value: next, removed: false, version: result.revision });
       return true;
     }
@@ -1028,6 +1019,8 @@
     for (const machine of this.machines.values()) {
       const view = this.viewOf(machine, now);
       const silentMs = now - machine.belief.lastHeardAt;
+      // Not acknowledged since the claim: it may run what was cancelled, and old jobs wait for it.
+      const unknown = this.claimFence.has(machine.id) && now - this.since > this.deps.settings.workers.leaseMs + 2000;
       // Silent for reports and for commands while others of the block are heard: not our own network.
       const dead =
         machine.courier.failures >= 2 &&
@@ -1045,7 +1038,7 @@
         empty: machine.belief.empty,
         // Others send jobs and machines by this: what is only said to be usable makes jobs go in circles.
         usable: view !== null && this.sound(machine, now),
-        lost: machine.lost || dead,
+        lost: machine.lost || dead || unknown,
         faulty: machine.faulty(now),
         images: machine.imageList,
       });
--- a/src/leasing/leader.ts
+++ b/src/leasing/leader.ts
@@ -29,6 +29,7 @@
   summaries(): readonly ShardSummary[];
   types(): ReadonlyMap<string, MachineType>;
   tell(holder: NodeName, message: PeerMessage): void;
+  nudge(): void;
 }
 
 interface Known {
@@ -74,7 +75,9 @@
   /** A worker that is in no block reports: it is up and may be leased. */
   noteUp(message: WorkerMessage): void {
     const now = this.deps.clock.now();
+    const isNew = !this.known.get(message.machine)?.reportedAt;
     const known = this.learn(message.machine, message.type, message.zone, message.spot, now);
+    if (isNew) this.deps.nudge();
     known.reportedAt = now;
     known.address = message.address;
   }
--- a/src/leasing/plan.ts
+++ b/src/leasing/plan.ts
@@ -5,6 +5,8 @@
 import type { MachineSummary, ShardSummary } from '../peers/index.js';
 
 const EPSILON = 1e-6;
+/** A kind is dear for a job when a cpu costs this many times as much as on the cheapest that it may use. */
+const DEAR = 2.5;
 
 /** A machine that is rented but in no block yet. */
 export interface LooseMachine {
@@ -175,7 +177,8 @@
     else stillIdle.push(entry);
   }
 
-  holdBack(wants, input);
+  const uncut = wants.map((want) => ({ ...want }));
+  holdBack(wants, input, input.patience);
 
   // Machines on their way will serve what is left; those that take too long do not count.
   for (const machine of input.loose) {
@@ -183,7 +186,9 @@
     const type = input.types.get(machine.type);
     if (!type || machine.ageS > type.bootS * 1.8 + 5) continue;
     const supply = supplyOf(type, machine.zone, machine.spot);
+    const again = { ...supply };
     for (const want of wants) if (want.slots > 0) take(want, supply);
+    for (const want of uncut) if (want.slots > 0) take(want, again);
   }
 
   // Room for services: what is free anywhere counts, partly used machines first.
@@ -235,12 +240,20 @@
   }
 
   const rents = new Map<string, RentWish>();
-  for (const want of [...wants, ...lacking(room(null))]) rentFor(want, input, rents);
+  const needs = [...wants, ...lacking(room(null))];
+  for (const want of needs) rentFor(want, input, rents, want.spec.kind === 'array' ? DEAR : Infinity);
+  // Kinds that are dear for the job are rented only for what is late even by a generous measure.
+  holdBack(uncut, input, input.patience * 1.5);
+  for (const want of uncut) {
+    const left = wants.find((w) => w.spec === want.spec);
+    want.slots = want.spec.kind === 'array' ? Math.min(want.slots, left?.slots ?? 0) : 0;
+    rentFor(want, input, rents, Infinity);
+  }
   return { grants, transfers, rents: [...rents.values()], releases };
 }
 
 /** Machines that stand idle follow any demand; new ones are rented only for what would be late. */
-function holdBack(wants: readonly Want[], input: LeaseInput): void {
+function holdBack(wants: readonly Want[], input: LeaseInput, patience: number): void {
   let runningCpus = 0;
   let runningCpuSeconds = 0;
   for (const shard of input.shards) {
@@ -254,7 +267,7 @@
   const arrays = wants.filter((want) => want.spec.kind === 'array' && want.slots > 0);
   const backlog = arrays.map((want) => ({
     cpuSeconds: want.slots * want.spec.cpus * want.runS,
-    withinS: Math.max(want.runS, (want.slackS + want.runS) * input.patience),
+    withinS: Math.max(want.runS, (want.slackS + want.runS) * patience),
   }));
   let missing = missingCpus(backlog, runningCpus, runningCpuSeconds);
   for (const want of arrays) {
@@ -264,6 +277,21 @@
   }
 }
 
+/** The lowest price of a cpu among the kinds that a job may use. */
+function cheapestCpu(spec: JobSpec, input: LeaseInput): number {
+  let lowest = Infinity;
+  for (const type of input.types.values()) {
+    if (slotsIn(spec, type) <= 0) continue;
+    for (const zone of type.zones) {
+      for (const spot of [true, false]) {
+        if (!allowedKind(spec, { type: type.name, zone, spot })) continue;
+        lowest = Math.min(lowest, (spot ? type.spotPrice : type.price) / type.cpus);
+      }
+    }
+  }
+  return lowest;
+}
+
 function hourly(input: LeaseInput, m: MachineSummary): number {
   const type = input.types.get(m.type);
   return type ? (m.spot ? type.spotPrice : type.price) : 0;
@@ -284,7 +312,8 @@
 }
 
 /** The cheapest kind for what is left of a want: cost of a machine over the slots that are really used. */
-function rentFor(want: Want, input: LeaseInput, rents: Map<string, RentWish>): void {
+function rentFor(want: Want, input: LeaseInput, rents: Map<string, RentWish>, dear: number): void {
+  const mostPerCpu = dear === Infinity ? Infinity : cheapestCpu(want.spec, input) * dear;
   for (let tries = 0; tries < 40 && want.slots > 0; tries++) {
     let best: { type: MachineType; zone: string; spot: boolean; slots: number } | null = null;
     let bestCost = Infinity;
@@ -297,6 +326,7 @@
           const key = kindKey(type.name, zone, spot);
           if (input.refused.has(key)) continue;
           const price = spot ? type.spotPrice : type.price;
+          if (price / type.cpus > mostPerCpu) continue;
           const already = rents.get(key)?.count ?? 0;
           const cost = price / Math.min(slots, want.slots) + already * 1e-6 * price;
           if (cost < bestCost) {
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -29,6 +29,8 @@
   held(): readonly ShardName[];
   /** After a lapse: reads afresh whether our shards are still ours. */
   verify(): Promise<void>;
+  /** False while another node would hold shards better. */
+  mayClaim(): boolean;
 }
 
 /** Is a shard free to be claimed? Its holder's key is gone, or belongs to a later life of the node. */
@@ -146,7 +148,7 @@
   /** One round: claim what is vacant, our own shard at once and others' after a pause by rank. */
   async claim(): Promise<void> {
     const nodeVersion = this.nodeVersion;
-    if (nodeVersion === undefined) return;
+    if (nodeVersion === undefined || !this.hooks.mayClaim()) return;
     const now = this.clock.now();
     for (const shard of this.shards) {
       const entry = this.mirror.get(shardKey(shard));
--- a/src/peers/link.ts
+++ b/src/peers/link.ts
@@ -2,17 +2,16 @@
 import { Subject } from 'rxjs';
 import type { Address, Clock, Incarnation, Logger, Millis, NodeName } from '../kernel/index.js';
 import { FrameSplitter } from './codec.js';
-import { decodeMessage, encodeMessage, type AskOp, type PeerMessage } from './messages.js';
+import { decodeMessage, encodeMessage, type AskOp, type PeerCondition, type PeerMessage } from './messages.js';
 
 const MAX_BUFFERED = 2 * 1024 * 1024;
 const MAX_INCOMING = 32;
 const HELLO_EVERY_MS = 700;
 const CONNECT_TIMEOUT_MS = 1500;
 
-export interface PeerStatus {
+export interface PeerStatus extends PeerCondition {
   readonly node: NodeName;
   readonly incarnation: Incarnation;
-  readonly stateOk: boolean;
   readonly heardAt: Millis;
 }
 
@@ -44,7 +43,7 @@
     private readonly incarnation: Incarnation,
     private readonly listenOn: Address,
     seeds: readonly { readonly node: NodeName; readonly address: Address }[],
-    private readonly stateOk: () => boolean,
+    private readonly condition: () => PeerCondition,
     private readonly clock: Clock,
     private readonly log: Logger,
   ) {
@@ -101,6 +100,11 @@
     });
   }
 
+  /** Tells all peers at once what has changed about this node. */
+  greet(): void {
+    this.broadcast(this.hello());
+  }
+
   private write(peer: Outgoing, message: PeerMessage): boolean {
     const socket = peer.socket;
     if (!socket || !peer.ready || socket.writableLength > MAX_BUFFERED) return false;
@@ -121,7 +125,7 @@
   }
 
   private hello(): PeerMessage {
-    return { kind: 'hello', node: this.self, incarnation: this.incarnation, stateOk: this.stateOk() };
+    return { kind: 'hello', node: this.self, incarnation: this.incarnation, ...this.condition() };
   }
 
   private open(peer: Outgoing): void {
@@ -163,6 +167,7 @@
               node: from,
               incarnation: message.incarnation,
               stateOk: message.stateOk,
+              fit: message.fit,
               heardAt: this.clock.now(),
             });
           }
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -56,8 +56,16 @@
 export type AskOp = 'submit' | 'query' | 'cancel';
 const OPS: readonly AskOp[] = ['submit', 'query', 'cancel'];
 
+/** What a node says of itself with every greeting. */
+export interface PeerCondition {
+  /** The state service answers it. */
+  readonly stateOk: boolean;
+  /** It reaches the workers, as far as it knows. */
+  readonly fit: boolean;
+}
+
 export type PeerMessage =
-  | { readonly kind: 'hello'; readonly node: NodeName; readonly incarnation: Incarnation; readonly stateOk: boolean }
+  | ({ readonly kind: 'hello'; readonly node: NodeName; readonly incarnation: Incarnation } & PeerCondition)
   | { readonly kind: 'summary'; readonly summary: ShardSummary }
   | { readonly kind: 'cancelled'; readonly job: JobId }
   /** The leader asks a holder to lease an empty machine to another shard; null: to let it go. */
@@ -84,7 +92,7 @@
   const w = new FrameWriter(Kind[m.kind]);
   switch (m.kind) {
     case 'hello':
-      return w.text(m.node).text(m.incarnation).u8(flags(m.stateOk)).finish();
+      return w.text(m.node).text(m.incarnation).u8(flags(m.stateOk, m.fit)).finish();
     case 'summary': {
       const s = m.summary;
       w.text(s.shard).text(s.holder);
@@ -115,6 +123,8 @@
   }
 }
 
+const condition = (bits: number): PeerCondition => ({ stateOk: (bits & 1) !== 0, fit: (bits & 2) !== 0 });
+
 export function decodeMessage(frame: Buffer): PeerMessage {
   const r = new FrameReader(frame);
   const message = decodeFields(r);
@@ -125,12 +135,7 @@
 function decodeFields(r: FrameReader): PeerMessage {
   switch (r.kind) {
     case Kind.hello:
-      return {
-        kind: 'hello',
-        node: nodeName(r.text()),
-        incarnation: incarnation(r.text()),
-        stateOk: (r.u8() & 1) !== 0,
-      };
+      return { kind: 'hello', node: nodeName(r.text()), incarnation: incarnation(r.text()), ...condition(r.u8()) };
     case Kind.summary: {
       const shard = shardName(r.text());
       const holder = nodeName(r.text());
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -52,8 +52,8 @@
   readonly avoid: ReadonlySet<MachineId>;
   /** Seconds until it misses its next aim. */
   readonly slackS: number;
-  /** Too late for every aim: it goes behind what can still be in time. */
-  readonly late: boolean;
+  /** Seconds until it misses the last of them; below zero it can't be in time any more. */
+  readonly lastSlackS: number;
   /** Work that is left, in cpu-seconds. */
   readonly workS: number;
 }
@@ -117,18 +117,25 @@
   fetching: Set<string>;
 }
 
+/** Closer than this to its last aim, a job goes by its time, whatever its size. */
+const URGENT_S = 40;
+
 /**
  * Under too much load, earliest-due-first makes everything late. So jobs with a deadline go by
  * slack, all others by the work that is left: short jobs are through before long ones notice.
+ * A long job's turn comes shortly before its last aim; what is late for every aim goes last.
  */
-const rank = (job: PendingJob): number => (job.spec.deadlineS === null ? job.workS / 16 : job.slackS);
+function rank(job: PendingJob): number {
+  if (job.lastSlackS < 0) return 1e9 + job.workS;
+  if (job.spec.deadlineS !== null) return job.slackS;
+  return job.lastSlackS < URGENT_S ? job.lastSlackS - URGENT_S : job.workS / 16;
+}
 
 /** Services first, then by priority, then what can still be in time. */
 export function pendingOrder(a: PendingJob, b: PendingJob): number {
   const service = Number(b.spec.kind === 'service') - Number(a.spec.kind === 'service');
   if (service !== 0) return service;
   if (a.spec.priority !== b.spec.priority) return b.spec.priority - a.spec.priority;
-  if (a.late !== b.late) return Number(a.late) - Number(b.late);
   const byRank = rank(a) - rank(b);
   if (byRank !== 0) return byRank;
   return a.spec.id < b.spec.id ? -1 : 1;
@@ -167,7 +174,6 @@
 /**
  * Free accelerators keep their machine's cpus: other work takes what a job with accelerators
  * leaves. Work that gives way and loses little may take more: of low priority, with checkpoints.
- * So may services that find no other room; they are moved off again.
  */
 export const mayBorrow = (spec: JobSpec): boolean =>
   spec.gpus <= 0 && spec.kind === 'array' && spec.priority === Priority.low && spec.checkpointS > 0;
@@ -268,7 +274,7 @@
       for (const room of candidates) {
         if (!fits(spec, room) || !allowedZone(spec, room.view.zone, zoneUse)) continue;
         const leaves = leavesReserve(spec, room, input.reserve);
-        if (!leaves && !mayBorrow(spec) && spec.kind !== 'service') continue;
+        if (!leaves && !mayBorrow(spec)) continue;
         const s = score(spec, room, machineUse.get(room.view.id) ?? 0, job.avoid.has(room.view.id)) + (leaves ? 0 : 40);
         if (s < bestScore) {
           best = room;
--- a/src/service/service.ts
+++ b/src/service/service.ts
@@ -26,6 +26,7 @@
 const SUMMARY_EVERY_MS = 500;
 const SUMMARY_VALID_MS = 5000;
 const HAND_BACK_AFTER_MS = 3000;
+const UNFIT_MS = 20_000;
 
 /** One controller: all slices put together. */
 export class Service {
@@ -46,7 +47,9 @@
   private readonly homeSince = new Map<ShardName, number>();
   private readonly ownShard: ShardName;
   private types = new Map<string, MachineType>();
+  private unfitUntil = 0;
   private readonly rounds: ReconcileLoop;
+  private readonly leaderRounds: ReconcileLoop;
 
   constructor(
     private readonly settings: Settings,
@@ -63,7 +66,7 @@
       this.incarnation,
       settings.peerOn,
       settings.seeds,
-      () => this.state.available && this.mirror.loaded,
+      () => ({ stateOk: this.state.available && this.mirror.loaded, fit: this.fit }),
       clock,
       log,
     );
@@ -73,7 +76,11 @@
       this.incarnation,
       this.state,
       this.mirror,
-      { held: () => [...this.holders.keys()], verify: () => this.verifyShards() },
+      {
+        held: () => [...this.holders.keys()],
+        verify: () => this.verifyShards(),
+        mayClaim: () => this.fit || !this.peers.names.some((peer) => this.isFit(peer)),
+      },
       clock,
       log,
     );
@@ -109,7 +116,9 @@
       summaries: () => this.currentSummaries(),
       types: () => this.types,
       tell: (node, message) => this.tell(node, message),
+      nudge: () => this.leaderRounds.nudge(),
     });
+    this.leaderRounds = new ReconcileLoop('leader', 400, log, () => this.leader.round(), 50);
     this.rounds = new ReconcileLoop('holders', 250, log, () => {
       for (const holder of this.holders.values()) holder.round();
     });
@@ -143,7 +152,7 @@
       await this.membership.claim();
       await this.reviewShards();
     }).start();
-    new ReconcileLoop('leader', 400, log, () => this.leader.round()).start();
+    this.leaderRounds.start();
     new ReconcileLoop('summaries', SUMMARY_EVERY_MS, log, () => this.publish()).start();
     log.info({ serve: settings.serveOn, incarnation: this.incarnation }, 'wooddrift is up');
   }
@@ -208,6 +217,15 @@
     };
   }
 
+  private isFit(node: NodeName): boolean {
+    const status = this.peers.statusOf(node);
+    return status !== null && status.stateOk && status.fit;
+  }
+
+  private get fit(): boolean {
+    return this.clock.now() >= this.unfitUntil;
+  }
+
   private async verifyShards(): Promise<void> {
     for (const shard of this.holders.keys()) {
       const read = await this.state.get(shardKey(shard));
@@ -227,15 +245,25 @@
         if (heard !== null && heard !== life) holder.proven();
         else this.peers.send(node, { kind: 'standdown', shard, version: holder.claimedAt });
       }
+      const fitPeer = this.peers.names.some((peer) => this.isFit(peer));
+      if (holder.blind && fitPeer && holder.fenced) {
+        // Cut off from the workers: another node may reach them.
+        this.unfitUntil = now + UNFIT_MS;
+        this.peers.greet();
+        await holder.giveUp('this node cannot reach the workers');
+        continue;
+      }
       if (shard === this.ownShard) continue;
       const home = shard as unknown as NodeName;
       const life = this.membership.alive(home);
-      const up = life !== null && this.peers.statusOf(home)?.stateOk === true;
+      const up = life !== null && this.isFit(home);
       if (!up) this.homeSince.delete(shard);
       else {
         const since = this.homeSince.get(shard) ?? now;
         this.homeSince.set(shard, since);
-        if (now - since > HAND_BACK_AFTER_MS && (await holder.handBack())) this.homeSince.delete(shard);
+        if (now - since > HAND_BACK_AFTER_MS && holder.quiet && (await holder.giveUp('its own node is back'))) {
+          this.homeSince.delete(shard);
+        }
       }
     }
   }
