--- a/src/holder/holder.ts
+++ b/src/holder/holder.ts
@@ -667,6 +667,7 @@
         gpus: run.spec.gpus,
         memoryGb: run.spec.memoryGb,
         lossS: run.spec.checkpointS > 0 ? Math.min(ranS, run.spec.checkpointS / 2) : ranS,
+        saves: run.spec.checkpointS > 0,
         stopping: run.ended || active?.stopping != null,
       });
     }
@@ -894,9 +895,9 @@
   transfer(id: MachineId, to: ShardName | null): void {
     const machine = this.machines.get(id);
     if (!machine || machine.leaving) return;
-    if (!machine.belief.empty && (to !== null || this.inUse(machine))) return;
+    if (!machine.belief.empty && this.inUse(machine)) return;
     machine.leaving = { to, since: this.deps.clock.now() };
-    // Idle accelerators are given back although their cpus are lent out: that work saves and moves.
+    // Idle accelerators leave although their cpus are lent out: that work saves and moves.
     for (const run of this.jobs.values()) {
       for (const active of run.active.values()) if (active.machine === id) this.stopWithMates(run, active, 'drain');
     }
--- a/src/leasing/plan.ts
+++ b/src/leasing/plan.ts
@@ -180,6 +180,18 @@
   const uncut = wants.map((want) => ({ ...want }));
   holdBack(wants, input, input.patience);
 
+  // Idle accelerators whose cpus are lent out follow work that needs accelerators: the loan is called in.
+  for (const { machine, shard } of stillIdle) {
+    const type = input.types.get(machine.type);
+    if (machine.empty || !type || type.gpus <= 0) continue;
+    const needy = wants.filter((want) => want.spec.gpus > 0);
+    const supply = supplyOf(type, machine.zone, machine.spot);
+    const to = bestShard(needy, supply);
+    if (to === null) continue;
+    serve(needy, supply, to);
+    if (to !== shard.shard) transfers.push({ machine: machine.id, from: shard.shard, to });
+  }
+
   // Machines on their way will serve what is left; those that take too long do not count.
   for (const machine of input.loose) {
     if (machine.up) continue;
--- a/src/leasing/routing.ts
+++ b/src/leasing/routing.ts
@@ -15,15 +15,20 @@
   /** Free cpus of machines that the job may use. */
   readonly freeCpus: number;
   readonly waiting: number;
+  /** Machines of a kind that the job may use and that have what it needs, busy or not. */
+  readonly machines: number;
 }
 
 export function roomFor(spec: JobSpec, summary: ShardSummary, types: ReadonlyMap<string, MachineType>): ShardRoom {
   let slots = 0;
   let warm = 0;
   let freeCpus = 0;
+  let machines = 0;
   for (const m of summary.machines) {
     if (!m.usable || m.faulty || m.lost || !allowedKind(spec, m)) continue;
     if (spec.gpus <= 0 && m.freeGpus > EPSILON && !mayBorrow(spec)) continue;
+    const type = types.get(m.type);
+    if (type && type.gpus >= spec.gpus && type.cpus >= spec.cpus && type.memoryGb >= spec.memoryGb) machines += 1;
     const by = (need: number, free: number): number => (need <= 0 ? Infinity : Math.floor((free + EPSILON) / need));
     const here = Math.min(
       by(spec.cpus, m.freeCpus),
@@ -44,6 +49,7 @@
     warm: Math.min(warm, spec.tasks),
     freeCpus,
     waiting,
+    machines,
   };
 }
 
@@ -58,6 +64,8 @@
   rooms.sort(
     (a, b) =>
       b.slots - a.slots ||
+      // A gang that finds no room waits where most of its kind of machine is: scattered, they never suffice.
+      (spec.kind === 'gang' && a.slots < spec.tasks ? b.machines - a.machines : 0) ||
       b.warm - a.warm ||
       (a.slots === 0 ? a.waiting - b.waiting : 0) ||
       b.freeCpus - a.freeCpus ||
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -38,6 +38,8 @@
   readonly memoryGb: number;
   /** Work that is lost when it is stopped, in seconds. */
   readonly lossS: number;
+  /** It has checkpoints. */
+  readonly saves: boolean;
   readonly stopping: boolean;
 }
 
@@ -347,7 +349,6 @@
   stops: PlannedStop[],
 ): number {
   const { spec } = job;
-  if (spec.kind !== 'service' && spec.priority < Priority.high) return 0;
   let coming = 0;
   const rooms = [...candidates].sort((a, b) => b.coming.cpus + b.cpus - (a.coming.cpus + a.cpus));
   for (const room of rooms) {
@@ -373,7 +374,14 @@
     room.gpus + room.coming.gpus + sum((task) => task.gpus) + EPSILON >= spec.gpus &&
     room.memoryGb + room.coming.memoryGb + sum((task) => task.memoryGb) + EPSILON >= spec.memoryGb;
   const order = room.view.running
-    .filter((task) => task.priority < spec.priority && !task.stopping && !stopped.has(`${task.job}/${task.index}`))
+    // Arrays stop only what saves: work that is lost must be done again, and nothing is won.
+    .filter(
+      (task) =>
+        task.priority < spec.priority &&
+        (task.saves || spec.kind !== 'array') &&
+        !task.stopping &&
+        !stopped.has(`${task.job}/${task.index}`),
+    )
     .sort((a, b) => a.priority - b.priority || a.lossS - b.lossS);
   for (const task of order) {
     if (has()) break;
--- a/src/service/service.ts
+++ b/src/service/service.ts
@@ -1,4 +1,5 @@
 import { randomBytes } from 'node:crypto';
+import type { Server } from 'node:http';
 import { adminRouter, SettingsStore } from '../admin/index.js';
 import { CloudClient, type MachineType } from '../cloud/index.js';
 import type { Settings } from '../config/index.js';
@@ -8,7 +9,6 @@
   incarnation,
   ReconcileLoop,
   shardName,
-  sleep,
   systemClock,
   type JobId,
   type Logger,
@@ -27,6 +27,7 @@
 const SUMMARY_VALID_MS = 5000;
 const HAND_BACK_AFTER_MS = 3000;
 const UNFIT_MS = 20_000;
+const TYPES_EVERY_MS = 30_000;
 
 /** One controller: all slices put together. */
 export class Service {
@@ -50,6 +51,9 @@
   private unfitUntil = 0;
   private readonly rounds: ReconcileLoop;
   private readonly leaderRounds: ReconcileLoop;
+  private readonly loops: ReconcileLoop[] = [];
+  private server: Server | undefined;
+  private typesAt = 0;
 
   constructor(
     private readonly settings: Settings,
@@ -140,23 +144,36 @@
       log,
     );
     const sockets = Math.max(50, Math.floor(settings.maxConnections * 0.7));
-    listen(app, settings.serveOn.port, settings.serveOn.host, sockets, log);
+    this.server = listen(app, settings.serveOn.port, settings.serveOn.host, sockets, log);
     void this.mirror.run();
-    void this.learnTypes();
-    this.rounds.start();
-    new ReconcileLoop('session', this.membership.renewEveryMs, log, () => this.membership.keep()).start();
-    void this.membership.keep();
-    new ReconcileLoop('claims', 200, log, async () => {
-      if (!this.mirror.loaded) return;
-      await this.membership.elect();
-      await this.membership.claim();
-      await this.reviewShards();
-    }).start();
-    this.leaderRounds.start();
-    new ReconcileLoop('summaries', SUMMARY_EVERY_MS, log, () => this.publish()).start();
+    const session = new ReconcileLoop('session', this.membership.renewEveryMs, log, () => this.membership.keep());
+    const claims = new ReconcileLoop('claims', 200, log, () => this.claims());
+    const summaries = new ReconcileLoop('summaries', SUMMARY_EVERY_MS, log, () => this.publish());
+    const types = new ReconcileLoop('types', 500, log, () => this.learnTypes());
+    this.loops.push(session, claims, types, summaries, this.leaderRounds, this.rounds);
+    for (const loop of this.loops) loop.start();
+    session.nudge();
     log.info({ serve: settings.serveOn, incarnation: this.incarnation }, 'wooddrift is up');
   }
 
+  /** Ends this controller as a crash would: nothing is handed over. */
+  stop(): void {
+    for (const loop of this.loops) loop.stop();
+    for (const holder of this.holders.values()) holder.drop();
+    this.mirror.stop();
+    this.peers.stop();
+    this.server?.closeAllConnections();
+    this.server?.close();
+    this.state.close();
+  }
+
+  private async claims(): Promise<void> {
+    if (!this.mirror.loaded) return;
+    await this.membership.elect();
+    await this.membership.claim();
+    await this.reviewShards();
+  }
+
   private healthy(): boolean {
     if (!this.mirror.loaded || !this.membership.registered) return false;
     if (this.state.available) return true;
@@ -397,27 +414,19 @@
     this.rounds.nudge();
   }
 
-  /** The first node that learns the types stores them: others start without the cloud. */
+  /** One round. The first node that learns the types stores them: others start without the cloud. */
   private async learnTypes(): Promise<void> {
-    for (;;) {
-      const known = this.types.size > 0;
-      const due = !known || this.membership.leading !== null;
-      if (due && this.mirror.loaded && (this.types.size === 0 || this.cloud.mayCall())) {
-        const types = await this.cloud.types();
-        if (types) {
-          this.takeTypes(types);
-          const stored = this.mirror.get(TYPES);
-          if (JSON.stringify(stored?.value) !== JSON.stringify(types)) {
-            await this.state.txn(
-              Urgency.progress,
-              [{ key: TYPES, version: stored?.version ?? 0 }],
-              [{ put: TYPES, value: types }],
-            );
-          }
-        }
-      }
-      await sleep(this.types.size > 0 ? 30_000 : 500);
-    }
+    const now = this.clock.now();
+    if (this.types.size > 0 && (this.membership.leading === null || now - this.typesAt < TYPES_EVERY_MS)) return;
+    if (!this.mirror.loaded || (this.types.size > 0 && !this.cloud.mayCall())) return;
+    const types = await this.cloud.types();
+    if (!types) return;
+    this.typesAt = now;
+    this.takeTypes(types);
+    const stored = this.mirror.get(TYPES);
+    if (JSON.stringify(stored?.value) === JSON.stringify(types)) return;
+    const guards = [{ key: TYPES, version: stored?.version ?? 0 }];
+    await this.state.txn(Urgency.progress, guards, [{ put: TYPES, value: types }]);
   }
 
   private status(): unknown {
--- a/src/state/client.ts
+++ b/src/state/client.ts
@@ -88,6 +88,11 @@
     this.lastOk = clock.now();
   }
 
+  close(): void {
+    this.http.close();
+    this.watchHttp.close();
+  }
+
   /** False while the service gives this node no answers. */
   get available(): boolean {
     return this.failures < 2;
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -170,6 +170,7 @@
           gpus: 0,
           memoryGb: 2,
           lossS: 1,
+          saves: i % 3 === 0,
           stopping: false,
         });
         const result = slowCheck(
@@ -199,6 +200,7 @@
     gpus: 0,
     memoryGb: 4,
     lossS: 1,
+    saves: false,
     stopping: false,
   };
   const full = machine('m0', { freeCpus: 0, freeMemoryGb: 4, running: [low] });
@@ -217,6 +219,25 @@
   );
 });
 
+test('an array stops low work only if that saves', () => {
+  const low = (saves: boolean): Stoppable => ({
+    job: jobId('j-low'),
+    index: 0,
+    priority: Priority.low,
+    cpus: 4,
+    gpus: 0,
+    memoryGb: 4,
+    lossS: 1,
+    saves,
+    stopping: false,
+  });
+  const stops = (saves: boolean): number =>
+    planPlacement(
+      input([machine('m0', { freeCpus: 0, running: [low(saves)] })], [pending(spec({ id: 'j-a', cpus: 2 }))]),
+    ).stops.length;
+  assert.deepEqual([stops(true), stops(false)], [1, 0]);
+});
+
 test('under too much load short jobs go first, and what is late for every aim goes last', () => {
   const jobs = [
     pending(spec({ id: 'j-long' }), { workS: 900 }),
