--- a/src/holder/holder.ts
+++ b/src/holder/holder.ts
@@ -24,6 +24,7 @@
 import { decodeShard, encodeShard, settleShard, type PreviousHolder, type ShardValue } from '../membership/index.js';
 import type { DemandSummary, MachineSummary, ShardSummary } from '../peers/index.js';
 import {
+  mayBorrow,
   planPlacement,
   type MachineView,
   type PendingJob,
@@ -317,7 +318,7 @@
     if (this.inUse(machine)) machine.emptySince = now;
   }
 
-  /** A machine with accelerators is idle while nothing uses them, whatever else fills its cpus. */
+  /** A machine with accelerators is idle while nothing uses them and only work that gives way fills its cpus. */
   private inUse(machine: HeldMachine): boolean {
     const gpus = this.deps.types().get(machine.info.type)?.gpus ?? 0;
     if (gpus <= 0) return !machine.belief.empty;
@@ -326,7 +327,7 @@
       if (listed.state === 'exited') continue;
       const parsed = parseTaskKey(key);
       const spec = parsed ? this.specOf(parsed.job) : null;
-      if (!spec || spec.gpus > 0) return true;
+      if (!spec || !mayBorrow(spec)) return true;
     }
     return false;
   }
@@ -676,7 +677,6 @@
         gpus: run.spec.gpus,
         memoryGb: run.spec.memoryGb,
         lossS: run.spec.checkpointS > 0 ? Math.min(ranS, run.spec.checkpointS / 2) : ranS,
-        saves: run.spec.checkpointS > 0,
         stopping: run.ended || active?.stopping != null,
       });
     }
@@ -882,7 +882,7 @@
 
   private deliver(machine: HeldMachine, orders: Order[], now: Millis): void {
     const { belief, courier } = machine;
-    const silent = now - belief.lastHeardAt > 2 * this.deps.settings.workers.reportMs;
+    const silent = now - belief.lastHeardAt > 1.4 * this.deps.settings.workers.reportMs;
     if (orders.length === 0 && belief.fenced && !(silent && !machine.lost)) return;
     if (!courier.ready()) return;
     for (const order of orders) {
@@ -892,7 +892,8 @@
     const startsUse = (o: Order): boolean => {
       if (o.op !== 'start') return false;
       const gpus = this.deps.types().get(machine.info.type)?.gpus ?? 0;
-      return gpus <= 0 || (this.specOf(parseTaskKey(o.key)?.job ?? jobId(''))?.gpus ?? 1) > 0;
+      const spec = this.specOf(parseTaskKey(o.key)?.job ?? jobId(''));
+      return gpus <= 0 || !spec || !mayBorrow(spec);
     };
     if (orders.some(startsUse)) machine.emptySince = now;
     void courier.send(orders);
@@ -1034,7 +1035,7 @@
       // Silent for reports and for commands while others of the block are heard: not our own network.
       const dead =
         machine.courier.failures >= 2 &&
-        silentMs > 2.5 * this.deps.settings.workers.reportMs + 2500 &&
+        silentMs > 2 * this.deps.settings.workers.reportMs + 1500 &&
         heardLately * 2 > this.machines.size;
       machines.push({
         id: machine.id,
--- a/src/leasing/routing.ts
+++ b/src/leasing/routing.ts
@@ -14,6 +14,7 @@
   readonly warm: number;
   /** Free cpus of machines that the job may use. */
   readonly freeCpus: number;
+  /** How long the shard's queue is, for each of its machines. */
   readonly waiting: number;
   /** The same for a service, once arrays have given way. */
   readonly afterStops: number;
@@ -43,7 +44,8 @@
     const slowFetch = spec.imageGb / (types.get(m.type)?.fetchGbPerS ?? 1) > 3;
     if (m.images.includes(spec.image) || (!slowFetch && spec.kind !== 'service')) warm += here;
   }
-  const waiting = summary.demand.reduce((sum, d) => sum + d.missing, 0);
+  // Seconds of waiting work for each machine that could do it.
+  const waiting = summary.demand.reduce((sum, d) => sum + d.missing * Math.max(1, d.estimateS), 0) / (machines + 0.5);
   return {
     shard: summary.shard,
     slots: Math.min(slots, spec.tasks),
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -38,8 +38,6 @@
   readonly memoryGb: number;
   /** Work that is lost when it is stopped, in seconds. */
   readonly lossS: number;
-  /** It has checkpoints. */
-  readonly saves: boolean;
   readonly stopping: boolean;
 }
 
@@ -121,8 +119,6 @@
 
 /** Closer than this to its last aim, a job goes by its time, whatever its size. */
 const URGENT_S = 40;
-/** An array stops lower work only when it would soon be late: each stop costs saving and starting again. */
-const PRESSING_S = 15;
 
 /**
  * Under too much load, earliest-due-first makes everything late. So jobs with a deadline go by
@@ -208,6 +204,8 @@
   }
   s += m.cpuPrice * 5;
   if (spec.gpus <= 0 && room.gpus > EPSILON) s += 20;
+  // A replica would keep a dear machine from being given back.
+  if (spec.kind === 'service' && spec.gpus <= 0 && m.gpus > 0) s += 30;
   return s;
 }
 
@@ -296,8 +294,7 @@
       starts.push({ job: spec.id, index, machine: best.view.id });
     }
     if (missing > 0) {
-      const presses = spec.kind !== 'array' || (job.lastSlackS >= 0 && job.slackS < PRESSING_S);
-      const waiting = !presses ? 0 : preempt(job, missing, candidates, zoneUse, stopped, stops);
+      const waiting = preempt(job, missing, candidates, zoneUse, stopped, stops);
       if (missing - waiting > 0) unplaced.push({ job: spec.id, count: missing - waiting });
     }
   }
@@ -352,6 +349,8 @@
   stops: PlannedStop[],
 ): number {
   const { spec } = job;
+  // Arrays wait: measured, each stop costs more in saving and starting again than it wins.
+  if (spec.kind === 'array' && spec.priority < Priority.high) return 0;
   let coming = 0;
   const rooms = [...candidates].sort((a, b) => b.coming.cpus + b.cpus - (a.coming.cpus + a.cpus));
   for (const room of rooms) {
@@ -377,14 +376,7 @@
     room.gpus + room.coming.gpus + sum((task) => task.gpus) + EPSILON >= spec.gpus &&
     room.memoryGb + room.coming.memoryGb + sum((task) => task.memoryGb) + EPSILON >= spec.memoryGb;
   const order = room.view.running
-    // Arrays stop only what saves: work that is lost must be done again, and nothing is won.
-    .filter(
-      (task) =>
-        task.priority < spec.priority &&
-        (task.saves || spec.kind !== 'array') &&
-        !task.stopping &&
-        !stopped.has(`${task.job}/${task.index}`),
-    )
+    .filter((task) => task.priority < spec.priority && !task.stopping && !stopped.has(`${task.job}/${task.index}`))
     .sort((a, b) => a.priority - b.priority || a.lossS - b.lossS);
   for (const task of order) {
     if (has()) break;
--- a/src/workers/courier.ts
+++ b/src/workers/courier.ts
@@ -3,6 +3,8 @@
 import { decodeMessage, encodeCommands, type Order, type WorkerMessage } from './wire.js';
 
 const TIMEOUT_MS = 2500;
+/** A command without orders only asks whether the worker is there. */
+const PROBE_TIMEOUT_MS = 1000;
 const MAX_ORDERS = 200;
 
 export interface CourierHooks {
@@ -72,7 +74,7 @@
         method: 'POST',
         path: '/commands',
         body: encodeCommands(this.belief.token, this.belief.session, batch),
-        timeoutMs: TIMEOUT_MS,
+        timeoutMs: batch.length > 0 ? TIMEOUT_MS : PROBE_TIMEOUT_MS,
       });
       const message = answer.kind === 'answered' ? decodeMessage(answer.body) : null;
       if (answer.kind === 'failed' || !message || (answer.status !== 200 && answer.status !== 409)) {
