--- a/src/holder/holder.ts
+++ b/src/holder/holder.ts
@@ -24,7 +24,6 @@
 import { decodeShard, encodeShard, settleShard, type PreviousHolder, type ShardValue } from '../membership/index.js';
 import type { DemandSummary, MachineSummary, ShardSummary } from '../peers/index.js';
 import {
-  mayBorrow,
   planPlacement,
   type MachineView,
   type PendingJob,
@@ -68,6 +67,9 @@
   readonly body: unknown;
 }
 
+/** Work that keeps a machine with accelerators from being given back; replicas are not stopped for that. */
+const usesAccelerators = (spec: JobSpec): boolean => spec.gpus > 0 || spec.kind === 'service';
+
 const maxReserve = (a: Reserve | null, b: Reserve): Reserve => ({
   cpus: Math.max(a?.cpus ?? 0, b.cpus),
   memoryGb: Math.max(a?.memoryGb ?? 0, b.memoryGb),
@@ -318,7 +320,7 @@
     if (this.inUse(machine)) machine.emptySince = now;
   }
 
-  /** A machine with accelerators is idle while nothing uses them and only work that gives way fills its cpus. */
+  /** A machine with accelerators is idle while nothing uses them and only arrays fill its cpus. */
   private inUse(machine: HeldMachine): boolean {
     const gpus = this.deps.types().get(machine.info.type)?.gpus ?? 0;
     if (gpus <= 0) return !machine.belief.empty;
@@ -327,7 +329,7 @@
       if (listed.state === 'exited') continue;
       const parsed = parseTaskKey(key);
       const spec = parsed ? this.specOf(parsed.job) : null;
-      if (!spec || !mayBorrow(spec)) return true;
+      if (!spec || usesAccelerators(spec)) return true;
     }
     return false;
   }
@@ -366,7 +368,7 @@
     if (listed.why === 'error') {
       run.errors += 1;
       run.errorMachines.add(machine.id);
-      run.avoid.add(machine.id);
+      run.keepOff(machine.id, now);
       if (run.failsEverywhere) {
         run.notBefore = millis(now + Math.min(30_000, 1000 * 2 ** Math.min(5, run.errors - 3)));
       } else machine.noteFailure(run.id, now);
@@ -592,7 +594,7 @@
       const active = run?.active.get(flag.index);
       if (!run || !active) continue;
       run.restarted.add(flag.index);
-      run.avoid.add(active.machine);
+      run.keepOff(active.machine, now);
       this.stop(run, active, 'straggler');
       this.deps.log.info(
         { job: run.id, index: flag.index, machine: flag.machine, threshold: flag.threshold, estimateS: flag.estimateS },
@@ -782,7 +784,7 @@
         ready,
         zoneUse,
         machineUse,
-        avoid: run.avoid,
+        avoid: run.avoided(now),
         ...this.slackOf(run),
         workS: this.workOf(run),
       });
@@ -853,6 +855,8 @@
         running: run.runningCount,
         slackS: this.slackOf(run).slackS,
         estimateS: median(run.finishedRunsS) ?? run.spec.estimateS,
+        cpus: run.spec.cpus,
+        gpus: run.spec.gpus,
       });
       if (now - run.unplacedSince > MOVE_AFTER_MS) this.moveElsewhere(run, count);
     }
@@ -893,7 +897,7 @@
       if (o.op !== 'start') return false;
       const gpus = this.deps.types().get(machine.info.type)?.gpus ?? 0;
       const spec = this.specOf(parseTaskKey(o.key)?.job ?? jobId(''));
-      return gpus <= 0 || !spec || !mayBorrow(spec);
+      return gpus <= 0 || !spec || usesAccelerators(spec);
     };
     if (orders.some(startsUse)) machine.emptySince = now;
     void courier.send(orders);
--- a/src/holder/run.ts
+++ b/src/holder/run.ts
@@ -1,5 +1,6 @@
 import {
   Bits,
+  millis,
   type Attempt,
   type JobId,
   type MachineId,
@@ -23,6 +24,8 @@
   stopping: { readonly reason: StopReason; readonly since: Millis; readonly graceS: number } | null;
 }
 
+const KEEP_OFF_MS = 60_000;
+
 /** An open job as its holder runs it. */
 export class JobRun {
   readonly active = new Map<number, ActiveTask>();
@@ -39,7 +42,8 @@
   notBefore: Millis;
   readonly restarted = new Set<number>();
   readonly finishedRunsS: number[] = [];
-  readonly avoid = new Set<MachineId>();
+  /** Machines that this job keeps away from, and until when. */
+  readonly avoid = new Map<MachineId, Millis>();
   unplacedSince: Millis | null = null;
   moving = false;
   private cursor = 0;
@@ -83,6 +87,16 @@
     return this.errorMachines.size >= 3 && this.done.count === 0;
   }
 
+  /** After a failure or a restart: a machine that fails everything at once always has room. */
+  keepOff(machine: MachineId, now: Millis): void {
+    this.avoid.set(machine, millis(now + KEEP_OFF_MS));
+  }
+
+  avoided(now: Millis): ReadonlySet<MachineId> {
+    for (const [machine, until] of this.avoid) if (until < now) this.avoid.delete(machine);
+    return new Set(this.avoid.keys());
+  }
+
   /** The lowest tasks that are neither done nor possibly anywhere. */
   ready(most: number): number[] {
     const { tasks } = this.spec;
--- a/src/leasing/routing.ts
+++ b/src/leasing/routing.ts
@@ -14,7 +14,7 @@
   readonly warm: number;
   /** Free cpus of machines that the job may use. */
   readonly freeCpus: number;
-  /** How long the shard's queue is, for each of its machines. */
+  /** How long the shard's queue is, in seconds. */
   readonly waiting: number;
   /** The same for a service, once arrays have given way. */
   readonly afterStops: number;
@@ -27,11 +27,14 @@
   let warm = 0;
   let freeCpus = 0;
   let machines = 0;
+  let capacity = 0;
   let afterStops = 0;
   for (const m of summary.machines) {
     if (!m.usable || m.faulty || m.lost || !allowedKind(spec, m)) continue;
-    if (spec.gpus <= 0 && m.freeGpus > EPSILON && !mayBorrow(spec)) continue;
     const type = types.get(m.type);
+    if (spec.gpus > 0) capacity += type?.gpus ?? 0;
+    else if (type && (type.gpus <= 0 || mayBorrow(spec))) capacity += type.cpus;
+    if (spec.gpus <= 0 && m.freeGpus > EPSILON && !mayBorrow(spec)) continue;
     if (type && type.gpus >= spec.gpus && type.cpus >= spec.cpus && type.memoryGb >= spec.memoryGb) machines += 1;
     const by = (need: number, free: number): number => (need <= 0 ? Infinity : Math.floor((free + EPSILON) / need));
     const slotsWith = (cpus: number, memoryGb: number): number =>
@@ -44,8 +47,13 @@
     const slowFetch = spec.imageGb / (types.get(m.type)?.fetchGbPerS ?? 1) > 3;
     if (m.images.includes(spec.image) || (!slowFetch && spec.kind !== 'service')) warm += here;
   }
-  // Seconds of waiting work for each machine that could do it.
-  const waiting = summary.demand.reduce((sum, d) => sum + d.missing * Math.max(1, d.estimateS), 0) / (machines + 0.5);
+  // Work that waits for the same kind of resource, for each unit of it that the job may use.
+  let waiting = 0;
+  for (const d of summary.demand) {
+    if (d.gpus > 0 !== spec.gpus > 0) continue;
+    waiting += d.missing * Math.max(1, d.estimateS) * (spec.gpus > 0 ? d.gpus : d.cpus);
+  }
+  waiting /= capacity + 1;
   return {
     shard: summary.shard,
     slots: Math.min(slots, spec.tasks),
@@ -67,12 +75,13 @@
   const rooms = summaries.map((s) => roomFor(spec, s, types));
   rooms.sort(
     (a, b) =>
-      b.slots - a.slots ||
+      Number(b.slots >= spec.tasks) - Number(a.slots >= spec.tasks) ||
       b.afterStops - a.afterStops ||
       // A gang that finds no room waits where most of its kind of machine is: scattered, they never suffice.
       (spec.kind === 'gang' && a.slots < spec.tasks ? b.machines - a.machines : 0) ||
-      b.warm - a.warm ||
-      (a.slots === 0 ? a.waiting - b.waiting : 0) ||
+      (a.slots >= spec.tasks ? b.warm - a.warm : 0) ||
+      (a.slots < spec.tasks ? a.waiting - b.waiting : 0) ||
+      b.slots - a.slots ||
       b.freeCpus - a.freeCpus ||
       Number(b.shard === own) - Number(a.shard === own) ||
       (a.shard < b.shard ? -1 : 1),
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -40,6 +40,9 @@
   readonly running: number;
   readonly slackS: number;
   readonly estimateS: number;
+  /** What a task takes. */
+  readonly cpus: number;
+  readonly gpus: number;
 }
 
 export interface RunningSummary {
@@ -106,7 +109,9 @@
         w.u8(flags(x.spot, x.empty, x.usable, x.lost, x.faulty));
         w.items(x.images, (image) => w.text(image));
       });
-      w.items(s.demand, (d) => w.text(d.job).u32(d.missing).u32(d.running).f64(d.slackS).f64(d.estimateS));
+      w.items(s.demand, (d) =>
+        w.text(d.job).u32(d.missing).u32(d.running).f64(d.slackS).f64(d.estimateS).f64(d.cpus).f64(d.gpus),
+      );
       w.items(s.running, (r) => w.text(r.job).u32(r.running).u32(r.done));
       return w.finish();
     }
@@ -174,6 +179,8 @@
         running: r.u32(),
         slackS: r.f64(),
         estimateS: r.f64(),
+        cpus: r.f64(),
+        gpus: r.f64(),
       }));
       const running = r.items((): RunningSummary => ({ job: jobId(r.text()), running: r.u32(), done: r.u32() }));
       return { kind: 'summary', summary: { shard, holder, machines, demand, running } };
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -48,7 +48,7 @@
   /** Tasks possibly there now, by zone. */
   readonly zoneUse: ReadonlyMap<string, number>;
   readonly machineUse: ReadonlyMap<MachineId, number>;
-  /** Machines where this job's tasks have failed. */
+  /** Machines that this job keeps away from. */
   readonly avoid: ReadonlySet<MachineId>;
   /** Seconds until it misses its next aim. */
   readonly slackS: number;
@@ -186,10 +186,9 @@
 }
 
 /** Lower is better. */
-function score(spec: JobSpec, room: Room, sameJobHere: number, avoid: boolean): number {
+function score(spec: JobSpec, room: Room, sameJobHere: number): number {
   const m = room.view;
   let s = 0;
-  if (avoid) s += 500;
   s += m.suspicion * 60;
   if (!m.images.has(spec.image) && !room.fetching.has(spec.image)) {
     s += (spec.imageGb / m.fetchGbPerS) * (1 + m.fetching + room.fetching.size);
@@ -250,7 +249,7 @@
 
   for (const job of [...input.pending].sort(pendingOrder)) {
     const { spec } = job;
-    const candidates = rooms.filter((room) => allowedKind(spec, room.view));
+    const candidates = rooms.filter((room) => allowedKind(spec, room.view) && !job.avoid.has(room.view.id));
     if (spec.kind === 'gang') {
       if (!withinLimit(spec, job.ready.length)) continue;
       const placed = placeGang(job, candidates);
@@ -277,7 +276,7 @@
         if (!fits(spec, room) || !allowedZone(spec, room.view.zone, zoneUse)) continue;
         const leaves = leavesReserve(spec, room, input.reserve);
         if (!leaves && !mayBorrow(spec)) continue;
-        const s = score(spec, room, machineUse.get(room.view.id) ?? 0, job.avoid.has(room.view.id)) + (leaves ? 0 : 40);
+        const s = score(spec, room, machineUse.get(room.view.id) ?? 0) + (leaves ? 0 : 40);
         if (s < bestScore) {
           best = room;
           bestScore = s;
@@ -317,7 +316,7 @@
         const free = left.get(room);
         if (!free || !allowedZone(spec, room.view.zone, zoneUse)) continue;
         if (!fits(spec, { ...room, ...free })) continue;
-        const s = score(spec, room, 0, job.avoid.has(room.view.id));
+        const s = score(spec, room, 0);
         if (s < bestScore) {
           best = room;
           bestScore = s;
--- a/test/leasing.test.ts
+++ b/test/leasing.test.ts
@@ -55,6 +55,8 @@
   running: 0,
   slackS,
   estimateS,
+  cpus: 1,
+  gpus: 0,
 });
 
 function input(specs: JobSpec[], shards: ShardSummary[], over: Partial<LeaseInput> = {}): LeaseInput {
@@ -163,3 +165,14 @@
   const many = [shard('n-0', [busy]), shard('n-1', [busy, { ...busy, id: machineId('m-3') }])];
   assert.equal(chooseShard(gang, many, types, shardName('n-0')), 'n-1');
 });
+
+test('a queue for accelerators does not keep other work away, and without room the shorter queue is chosen', () => {
+  const types = new Map([['small', type('small', 1, 0.2)]]);
+  const busy = machine('m-1', { freeCpus: 0, idleMs: 0, empty: false });
+  const job = spec({ id: 'j-1', tasks: 8 });
+  const gpuQueue = { ...demand('j-g', 9), gpus: 2 };
+  const choose = (a: DemandSummary[], b: DemandSummary[]): string | null =>
+    chooseShard(job, [shard('n-0', [busy], a), shard('n-1', [{ ...busy, id: machineId('m-2') }], b)], types, null);
+  assert.equal(choose([gpuQueue], [demand('j-2', 1)]), 'n-0');
+  assert.equal(choose([demand('j-2', 5)], [demand('j-3', 2)]), 'n-1');
+});
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -217,6 +217,12 @@
   );
 });
 
+test('a job keeps off the machine where it failed, even when only that has room', () => {
+  // Seen on a recorded day: a machine failed the same task three times in forty milliseconds.
+  const job = pending(spec({ id: 'j-a' }), { avoid: new Set([machineId('m0')]) });
+  assert.deepEqual(planPlacement(input([machine('m0')], [job])).starts, []);
+});
+
 test('an array never stops other work, a replica stays off machines with accelerators if it can', () => {
   const low: Stoppable = {
     ...{ job: jobId('j-low'), index: 0, priority: Priority.low },
