--- a/src/holder/holder.ts
+++ b/src/holder/holder.ts
@@ -75,9 +75,9 @@
   memoryGb: Math.max(a?.memoryGb ?? 0, b.memoryGb),
 });
 
-/** What a machine's arrays would give up to a service; machines with accelerators are left out. */
+/** What a machine's arrays take: they share it among themselves, and give it up to services. */
 function yielding(view: MachineView | null): { yieldCpus: number; yieldMemoryGb: number } {
-  const tasks = view && view.gpus <= 0 ? view.running.filter((task) => task.priority < Priority.production) : [];
+  const tasks = view ? view.running.filter((task) => task.priority < Priority.production) : [];
   return {
     yieldCpus: tasks.reduce((sum, task) => sum + task.cpus, 0),
     yieldMemoryGb: tasks.reduce((sum, task) => sum + task.memoryGb, 0),
--- a/src/jobs/model.ts
+++ b/src/jobs/model.ts
@@ -84,6 +84,12 @@
   };
 }
 
+/** The description alone, for those who don't need to know which tasks are done. */
+export function decodeSpec(value: unknown): JobSpec | null {
+  const spec = isObject(value) ? value['spec'] : null;
+  return isObject(spec) && typeof spec['id'] === 'string' ? (spec as unknown as JobSpec) : null;
+}
+
 export function decodeFinal(value: unknown): JobFinal | null {
   if (!isObject(value)) return null;
   const phase = value['phase'];
--- a/src/leasing/leader.ts
+++ b/src/leasing/leader.ts
@@ -1,5 +1,5 @@
 import type { CloudClient, MachineType, Rental } from '../cloud/index.js';
-import { decodeRecord, type JobSpec } from '../jobs/index.js';
+import { decodeSpec, type JobSpec } from '../jobs/index.js';
 import {
   millis,
   type Clock,
@@ -174,14 +174,14 @@
 
   private readonly specOf = (id: JobId): JobSpec | null => {
     const entry = this.deps.mirror.get(jobKey(id));
-    return entry ? (decodeRecord(entry.value)?.spec ?? null) : null;
+    return entry ? decodeSpec(entry.value) : null;
   };
 
   /** Of each class of services, its largest open job: as much must find room at once. */
   private headroom(): JobSpec[] {
     const largest = new Map<string, JobSpec>();
     for (const entry of this.deps.mirror.under(JOBS)) {
-      const spec = decodeRecord(entry.value)?.spec;
+      const spec = decodeSpec(entry.value);
       if (!spec || spec.kind !== 'service') continue;
       const known = largest.get(spec.jobClass);
       if (!known || spec.tasks * spec.cpus > known.tasks * known.cpus) largest.set(spec.jobClass, spec);
--- a/src/leasing/plan.ts
+++ b/src/leasing/plan.ts
@@ -211,7 +211,8 @@
         const type = input.types.get(m.type);
         if (!type || !m.usable || m.faulty || m.lost || m.id === without) continue;
         // Work that gives way to services at once is as good as free.
-        const [cpus, memoryGb] = [m.freeCpus + m.yieldCpus, m.freeMemoryGb + m.yieldMemoryGb];
+        const given = type.gpus > 0 ? 0 : 1;
+        const [cpus, memoryGb] = [m.freeCpus + given * m.yieldCpus, m.freeMemoryGb + given * m.yieldMemoryGb];
         supplies.push({ type, zone: m.zone, spot: m.spot, cpus, gpus: m.freeGpus, memoryGb });
       }
     }
--- a/src/leasing/routing.ts
+++ b/src/leasing/routing.ts
@@ -33,14 +33,16 @@
     if (!m.usable || m.faulty || m.lost || !allowedKind(spec, m)) continue;
     const type = types.get(m.type);
     if (spec.gpus > 0) capacity += type?.gpus ?? 0;
-    else if (type && (type.gpus <= 0 || mayBorrow(spec))) capacity += type.cpus;
+    // Only what arrays share counts: a machine full of replicas or gangs works no queue off.
+    else if (type && (type.gpus <= 0 || mayBorrow(spec))) capacity += m.freeCpus + m.yieldCpus;
     if (spec.gpus <= 0 && m.freeGpus > EPSILON && !mayBorrow(spec)) continue;
     if (type && type.gpus >= spec.gpus && type.cpus >= spec.cpus && type.memoryGb >= spec.memoryGb) machines += 1;
     const by = (need: number, free: number): number => (need <= 0 ? Infinity : Math.floor((free + EPSILON) / need));
     const slotsWith = (cpus: number, memoryGb: number): number =>
       Math.min(by(spec.cpus, cpus), by(spec.gpus, m.freeGpus), by(spec.memoryGb, memoryGb), spec.tasks);
     const here = slotsWith(m.freeCpus, m.freeMemoryGb);
-    if (spec.kind === 'service') afterStops += slotsWith(m.freeCpus + m.yieldCpus, m.freeMemoryGb + m.yieldMemoryGb);
+    if (spec.kind === 'service' && (type?.gpus ?? 0) <= 0)
+      afterStops += slotsWith(m.freeCpus + m.yieldCpus, m.freeMemoryGb + m.yieldMemoryGb);
     if (here <= 0) continue;
     slots += here;
     freeCpus += m.freeCpus;
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -21,7 +21,7 @@
   readonly freeCpus: number;
   readonly freeGpus: number;
   readonly freeMemoryGb: number;
-  /** What arrays of lower priority than services take: it gives way at once. */
+  /** What arrays take of it; services get that at once, unless the machine has accelerators. */
   readonly yieldCpus: number;
   readonly yieldMemoryGb: number;
   readonly idleMs: number;
--- a/test/leasing.test.ts
+++ b/test/leasing.test.ts
@@ -175,4 +175,8 @@
     chooseShard(job, [shard('n-0', [busy], a), shard('n-1', [{ ...busy, id: machineId('m-2') }], b)], types, null);
   assert.equal(choose([gpuQueue], [demand('j-2', 1)]), 'n-0');
   assert.equal(choose([demand('j-2', 5)], [demand('j-3', 2)]), 'n-1');
+  // Seen as reminders piling up beside replicas: what others hold doesn't work a queue off.
+  const sharing = { ...busy, id: machineId('m-3'), yieldCpus: 4 };
+  const equal = [demand('j-2', 3)];
+  assert.equal(chooseShard(job, [shard('n-0', [busy], equal), shard('n-1', [sharing], equal)], types, null), 'n-1');
 });
