--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -203,8 +203,6 @@
   }
   s += m.cpuPrice * 5;
   if (spec.gpus <= 0 && room.gpus > EPSILON) s += 20;
-  // A replica would keep a dear machine from being given back.
-  if (spec.kind === 'service' && spec.gpus <= 0 && m.gpus > 0) s += 30;
   return s;
 }
 
@@ -264,6 +262,8 @@
       }
       continue;
     }
+    // A replica would keep a dear machine from being given back for as long as it runs.
+    const plainService = spec.kind === 'service' && spec.gpus <= 0 && candidates.some((c) => c.view.gpus <= 0);
     const zoneUse = new Map(job.zoneUse);
     const machineUse = new Map(job.machineUse);
     let missing = 0;
@@ -274,6 +274,7 @@
       let bestScore = Infinity;
       for (const room of candidates) {
         if (!fits(spec, room) || !allowedZone(spec, room.view.zone, zoneUse)) continue;
+        if (plainService && room.view.gpus > 0) continue;
         const leaves = leavesReserve(spec, room, input.reserve);
         if (!leaves && !mayBorrow(spec)) continue;
         const s = score(spec, room, machineUse.get(room.view.id) ?? 0) + (leaves ? 0 : 40);
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -223,7 +223,7 @@
   assert.deepEqual(planPlacement(input([machine('m0')], [job])).starts, []);
 });
 
-test('an array never stops other work, a replica stays off machines with accelerators if it can', () => {
+test('an array never stops other work, a replica stays off machines with accelerators even while others are full', () => {
   const low: Stoppable = {
     ...{ job: jobId('j-low'), index: 0, priority: Priority.low },
     ...{ cpus: 4, gpus: 0, memoryGb: 4, lossS: 1, stopping: false },
@@ -234,6 +234,8 @@
   const service = pending(spec({ id: 'j-s', kind: 'service', priority: Priority.production }));
   const chosen = planPlacement(input([busyGpu, machine('m1')], [service])).starts.map((s) => s.machine);
   assert.deepEqual(chosen, ['m1']);
+  // Seen as theatres that nobody could give back, with one replica each.
+  assert.deepEqual(planPlacement(input([busyGpu, machine('m1', { freeCpus: 0 })], [service])).starts, []);
 });
 
 test('under too much load short jobs go first, and what is late for every aim goes last', () => {
