Lent machines are called in only when a gang will soon be late; most room decides the shard again

Ruled out: patience (worse when lowered), machines given up wrongly (none). Taken back: most free slots decide, the queue only where there are none.

--- a/src/leasing/plan.ts
+++ b/src/leasing/plan.ts
@@ -5,6 +5,9 @@
 import type { MachineSummary, ShardSummary } from '../peers/index.js';
 
 const EPSILON = 1e-6;
+/** Lent machines are called in only for a gang that will soon be late: each call stops a machine full of work. */
+const CALL_IN_MS = 3000;
+const CALL_IN_SLACK_S = 40;
 /** A kind is dear for a job when a cpu costs this many times as much as on the cheapest that it may use. */
 const DEAR = 2.5;
 
@@ -183,8 +186,8 @@
   // Idle accelerators whose cpus are lent out follow work that needs accelerators: the loan is called in.
   for (const { machine, shard } of stillIdle) {
     const type = input.types.get(machine.type);
-    if (machine.empty || !type || type.gpus <= 0) continue;
-    const needy = wants.filter((want) => want.spec.gpus > 0);
+    if (machine.empty || !type || type.gpus <= 0 || machine.idleMs < CALL_IN_MS) continue;
+    const needy = wants.filter((want) => want.spec.gpus > 0 && want.slackS < CALL_IN_SLACK_S);
     const supply = supplyOf(type, machine.zone, machine.spot);
     const to = bestShard(needy, supply);
     if (to === null) continue;
--- a/src/leasing/routing.ts
+++ b/src/leasing/routing.ts
@@ -67,7 +67,7 @@
   };
 }
 
-/** Where a job can start soonest: room for all of it, images in place, most left over; else the shortest queue. */
+/** Where a job can start soonest: most room for it, images in place, most left over; without room the shortest queue. */
 export function chooseShard(
   spec: JobSpec,
   summaries: readonly ShardSummary[],
@@ -77,13 +77,12 @@
   const rooms = summaries.map((s) => roomFor(spec, s, types));
   rooms.sort(
     (a, b) =>
-      Number(b.slots >= spec.tasks) - Number(a.slots >= spec.tasks) ||
+      b.slots - a.slots ||
       b.afterStops - a.afterStops ||
       // A gang that finds no room waits where most of its kind of machine is: scattered, they never suffice.
       (spec.kind === 'gang' && a.slots < spec.tasks ? b.machines - a.machines : 0) ||
-      (a.slots >= spec.tasks ? b.warm - a.warm : 0) ||
-      (a.slots < spec.tasks ? a.waiting - b.waiting : 0) ||
-      b.slots - a.slots ||
+      b.warm - a.warm ||
+      (a.slots === 0 ? a.waiting - b.waiting : 0) ||
       b.freeCpus - a.freeCpus ||
       Number(b.shard === own) - Number(a.shard === own) ||
       (a.shard < b.shard ? -1 : 1),
