--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -92,7 +92,7 @@
     readonly gangPeerMs: number;
     readonly cancelMs: number;
   };
-  readonly stateLimits: { readonly rps: number; readonly writeRps: number };
+  readonly stateLimits: { readonly rps: number; readonly writeRps: number; readonly valueKb: number };
   readonly cloudLimits: { readonly rps: number; readonly listLagMs: number };
   readonly maxConnections: number;
 }
@@ -145,7 +145,7 @@
       gangPeerMs: s.facts.workers.gang_peer_s * 1000,
       cancelMs: s.facts.workers.cancel_s * 1000,
     },
-    stateLimits: { rps: s.facts.state.rps, writeRps: s.facts.state.write_rps },
+    stateLimits: { rps: s.facts.state.rps, writeRps: s.facts.state.write_rps, valueKb: s.facts.state.value_kb },
     cloudLimits: { rps: s.facts.cloud.rps, listLagMs: s.facts.cloud.list_lag_s * 1000 },
     maxConnections: s.facts.machine_limits.max_connections ?? 800,
   };
--- a/src/holder/holder.ts
+++ b/src/holder/holder.ts
@@ -1,6 +1,6 @@
 import type { MachineType } from '../cloud/index.js';
 import type { Settings } from '../config/index.js';
-import { decodeRecord, encodeRecord, Priority, type JobRegistry, type JobSpec } from '../jobs/index.js';
+import { decodeRecord, encodeRecord, type JobRegistry, type JobSpec } from '../jobs/index.js';
 import {
   attempt,
   Bits,
@@ -21,19 +21,28 @@
   type ShardName,
   type TaskKey,
 } from '../kernel/index.js';
-import { decodeShard, encodeShard, settleShard, type PreviousHolder, type ShardValue } from '../membership/index.js';
-import type { DemandSummary, MachineSummary, ShardSummary } from '../peers/index.js';
 import {
-  planPlacement,
-  type MachineView,
-  type PendingJob,
-  type Reserve,
-  type Stoppable,
-  type TeamUse,
-} from '../placement/index.js';
-import { chooseRestarts, flagTasks, median, resourceR, type Flag, type Tunables } from '../speculation/index.js';
+  blockLimit,
+  decodeShard,
+  encodeShard,
+  settleKey,
+  settleShard,
+  type PreviousHolder,
+  type ShardValue,
+} from '../membership/index.js';
+import type { DemandSummary, MachineSummary, ShardSummary } from '../peers/index.js';
+import { planPlacement, type MachineView, type PendingJob, type Reserve, type TeamUse } from '../placement/index.js';
+import { chooseRestarts, flagTasks, resourceR, type Flag, type Tunables } from '../speculation/index.js';
 import { JOBS, jobKey, shardKey, Urgency, type Change, type Mirror, type StateClient } from '../state/index.js';
-import { encodeRedirect, encodeReply, type ListedTask, type Order, type WorkerMessage } from '../workers/index.js';
+import {
+  encodeRedirect,
+  encodeReply,
+  Whereabouts,
+  type ListedTask,
+  type Order,
+  type WorkerMessage,
+} from '../workers/index.js';
+import { bookingOf, usesAccelerators, type Booking } from './booking.js';
 import { HeldMachine } from './machine.js';
 import { JobRun, type ActiveTask, type StopReason } from './run.js';
 
@@ -56,6 +65,8 @@
   operator(): OperatorView;
   /** Until when at least nobody else can have taken our shards over. */
   heldUntil(): Millis;
+  /** True while nobody else can have claimed our shards, whatever the watch has not shown yet. */
+  certain(): boolean;
   /** Something is to be done soon. */
   nudge(): void;
   /** Another shard that has room for this job now. */
@@ -67,25 +78,22 @@
   readonly body: unknown;
 }
 
-/** Work that keeps a machine with accelerators from being given back; replicas are not stopped for that. */
-const usesAccelerators = (spec: JobSpec): boolean => spec.gpus > 0 || spec.kind === 'service';
-
 const maxReserve = (a: Reserve | null, b: Reserve): Reserve => ({
   cpus: Math.max(a?.cpus ?? 0, b.cpus),
   memoryGb: Math.max(a?.memoryGb ?? 0, b.memoryGb),
 });
 
-/** What a machine's arrays take: they share it among themselves, and give it up to services. */
-function yielding(view: MachineView | null): { yieldCpus: number; yieldMemoryGb: number } {
-  const tasks = view ? view.running.filter((task) => task.priority < Priority.production) : [];
-  return {
-    yieldCpus: tasks.reduce((sum, task) => sum + task.cpus, 0),
-    yieldMemoryGb: tasks.reduce((sum, task) => sum + task.memoryGb, 0),
-  };
-}
-
 const MAX_READY = 100;
 const PROGRESS_EVERY_MS = 1500;
+/** So many jobs' progress at a time: the rest waits here, where the next write holds all of it. */
+const PROGRESS_AT_ONCE = 2;
+const FINISH_AGAIN_MS = 400;
+/** What depends on time alone is looked at this often, whatever is reported in between. */
+const SWEEP_EVERY_MS = 250;
+/** How old what stopping a task would lose may be. */
+const BOOKING_VALID_MS = 1500;
+const LOOK_ELSEWHERE_EVERY_MS = 1000;
+const LOOK_ELSEWHERE_AT_ONCE = 4;
 const STOP_AGAIN_MS = 2500;
 const MOVE_AFTER_MS = 1200;
 const LEAVE_WITHIN_MS = 10_000;
@@ -99,10 +107,23 @@
 export class ShardHolder {
   readonly machines = new Map<MachineId, HeldMachine>();
   readonly jobs = new Map<JobId, JobRun>();
+  /** Found by what is asked, not by a walk: a block holds hundreds of machines and thousands of tasks. */
+  private readonly whereabouts = new Whereabouts();
+  /** Jobs that are over while something of theirs may be on a machine. */
+  private readonly endedRuns = new Set<JobRun>();
+  /** Machines with something to stop. */
+  private readonly toStop = new Set<HeldMachine>();
+  /** Something has changed that a plan depends on. */
+  private replan = true;
+  private sweptAt: Millis;
+  private storingProgress = 0;
+  private moving = false;
   /** Machines of the block at the claim that may still run what we have not seen. */
   private readonly claimFence = new Set<MachineId>();
   private attempts = 0;
   private proof: Millis | null;
+  /** Earlier holders that may still command. */
+  private readonly earlier: Map<NodeName, PreviousHolder>;
   private frozen = false;
   private demand: DemandSummary[] = [];
   private lastSpeculation: Millis;
@@ -114,13 +135,15 @@
     readonly shard: ShardName,
     readonly claimedAt: Revision,
     value: ShardValue,
-    readonly previous: PreviousHolder | null,
+    previous: readonly PreviousHolder[],
     private readonly deps: HolderDeps,
   ) {
     const now = deps.clock.now();
     this.lastSpeculation = now;
     this.since = now;
-    this.proof = previous === null ? now : null;
+    this.sweptAt = millis(now - SWEEP_EVERY_MS);
+    this.earlier = new Map(previous.map((holder) => [holder.node, holder]));
+    this.proof = previous.length === 0 ? now : null;
     this.syncBlock(value, claimedAt);
     for (const id of this.machines.keys()) this.claimFence.add(id);
     for (const entry of deps.mirror.under(JOBS)) {
@@ -132,17 +155,18 @@
     return this.claimFence.size === 0;
   }
 
-  /** The earlier holder is known to command no more: the workers' leases run out from here on. */
-  proven(): void {
-    if (this.proof !== null) return;
+  /** An earlier holder is known to command no more; after the last, the workers' leases run out from here on. */
+  proven(node: NodeName): void {
+    if (!this.earlier.delete(node) || this.earlier.size > 0 || this.proof !== null) return;
     const now = this.deps.clock.now();
     this.proof = now;
     for (const id of this.claimFence) this.machines.get(id)?.belief.answered(now);
     this.deps.log.info({ shard: this.shard }, 'the earlier holder is known to have stopped');
   }
 
-  get awaitsProof(): boolean {
-    return this.proof === null && this.claimFence.size > 0;
+  /** Who must be known to have stopped before a silent worker's lease can be taken for over. */
+  get doubtful(): PreviousHolder[] {
+    return this.claimFence.size > 0 ? [...this.earlier.values()] : [];
   }
 
   drop(): void {
@@ -161,10 +185,10 @@
     const wanted = new Set(value.machines.map((m) => m.id));
     for (const info of value.machines) {
       if (this.machines.has(info.id)) continue;
-      const machine: HeldMachine = new HeldMachine(info, version, this.deps.clock, this.deps.log, {
+      const machine: HeldMachine = new HeldMachine(info, version, this.deps.clock, this.deps.log, this.whereabouts, {
         heard: () => {
           this.sync(machine);
-          this.deps.nudge();
+          this.soon();
         },
         superseded: () => this.superseded(machine),
       });
@@ -177,10 +201,23 @@
       this.releaseAll(machine, 'machine gone');
       this.claimFence.delete(id);
       machine.courier.close();
+      this.toStop.delete(machine);
       this.machines.delete(id);
     }
   }
 
+  /** Something has changed: a round follows soon, with a plan. */
+  private soon(): void {
+    this.replan = true;
+    this.deps.nudge();
+  }
+
+  /** What is booked there is worked out anew. */
+  private touch(machine: HeldMachine): void {
+    if (machine.booking) machine.booking = { ...machine.booking, generation: -1 };
+    this.soon();
+  }
+
   onJob(change: Change): void {
     const id = jobId(change.key.slice(JOBS.length));
     const run = this.jobs.get(id);
@@ -188,12 +225,13 @@
       if (run && !run.ended) this.endRun(run);
       return;
     }
-    const record = decodeRecord(change.value);
-    if (!record) return;
-    if (record.shard !== this.shard) {
+    if (isObject(change.value) && change.value['shard'] !== this.shard) {
       if (run && !run.ended) this.endRun(run);
       return;
     }
+    if (run && !run.ended && run.version >= change.version) return;
+    const record = decodeRecord(change.value);
+    if (!record) return;
     if (run && !run.ended) {
       run.version = change.version;
       run.record = record;
@@ -203,15 +241,28 @@
     const bornField = isObject(change.value) ? change.value['born'] : undefined;
     const born = typeof bornField === 'number' ? revision(bornField) : change.version;
     const fresh = new JobRun(record, change.version, born, this.deps.clock.now());
+    if (run) this.endedRuns.delete(run);
     this.jobs.set(id, fresh);
     // Tasks of it may be listed already: this is a takeover, or the watch was late.
-    for (const machine of this.machines.values()) this.sync(machine);
-    this.deps.nudge();
+    for (const name of this.whereabouts.machinesOfJob(id)) {
+      const machine = this.machines.get(name);
+      if (!machine) continue;
+      this.sync(machine);
+      this.touch(machine);
+    }
+    this.soon();
   }
 
   private endRun(run: JobRun): void {
     run.ended = true;
-    this.deps.nudge();
+    this.endedRuns.add(run);
+    for (const name of this.whereabouts.machinesOfJob(run.id)) {
+      const machine = this.machines.get(name);
+      if (!machine) continue;
+      this.toStop.add(machine);
+      this.touch(machine);
+    }
+    this.soon();
   }
 
   /** The user cancelled it through another node, which tells us ahead of the watch. */
@@ -246,6 +297,7 @@
     if (!machine || this.dropped) return { status: 421, body: encodeRedirect(null) };
     if (this.frozen || (machine.leaving?.since ?? 0) < 0)
       return { status: 503, body: { error: 'the shard changes hands' } };
+    const { generation, fenced } = machine.belief;
     const verdict = machine.belief.take(message, now);
     if (verdict === 'superseded') {
       this.superseded(machine);
@@ -253,10 +305,13 @@
     }
     machine.courier.setAddress(message.address);
     if (verdict === 'taken') {
-      machine.lost = false;
+      const noticed = (message.noticeS === null) !== (machine.noticeUntil === null);
       machine.noticeUntil = message.noticeS === null ? null : millis(now + message.noticeS * 1000);
-      this.sync(machine);
-      this.deps.nudge();
+      if (generation !== machine.belief.generation || machine.lost || noticed || fenced !== machine.belief.fenced) {
+        machine.lost = false;
+        this.sync(machine);
+        this.soon();
+      }
     } else if (message.session < machine.belief.session || !machine.belief.heard) {
       return { status: 503, body: { error: 'an old report' } };
     }
@@ -304,34 +359,41 @@
           runningAt: null,
           stopping: null,
         };
-        run.active.set(parsed.index, adopted);
+        this.assign(machine, run, adopted);
         this.onState(machine, run, adopted, listed, now);
       }
+      if (listed.state !== 'exited' && this.graceOf(machine, key, listed, now) !== null) this.toStop.add(machine);
     }
     for (const key of machine.seenExits.keys()) if (!machine.belief.tasks.has(key)) machine.seenExits.delete(key);
     for (const key of machine.stopSentAt.keys()) if (!machine.belief.tasks.has(key)) machine.stopSentAt.delete(key);
-    for (const run of this.jobs.values()) {
-      for (const active of run.active.values()) {
-        if (active.machine === machine.id && !machine.belief.possibly(taskKey(run.id, active.index))) {
-          this.release(machine, run, active, 'not there any more');
-        }
-      }
+    for (const [key, { run, task }] of machine.active) {
+      if (!machine.belief.possibly(key)) this.release(machine, run, task, 'not there any more');
     }
-    if (this.inUse(machine)) machine.emptySince = now;
+    this.bookingOf(machine, now);
+  }
+
+  private assign(machine: HeldMachine, run: JobRun, task: ActiveTask): void {
+    run.active.set(task.index, task);
+    machine.active.set(taskKey(run.id, task.index), { run, task });
   }
 
-  /** A machine with accelerators is idle while nothing uses them and only arrays fill its cpus. */
+  /** What is booked on a machine; null as long as its type is unknown. */
+  private bookingOf(machine: HeldMachine, now: Millis): Booking | null {
+    const type = this.deps.types().get(machine.info.type);
+    if (!type) return null;
+    const known = machine.booking;
+    const current = known?.generation === machine.belief.generation && known.type === type;
+    if (known && current && (now - known.at < BOOKING_VALID_MS || known.running.length === 0)) return known;
+    const booking = bookingOf(machine.belief, type, this.runOf, now);
+    if (booking.inUse || known?.inUse === true) machine.emptySince = now;
+    machine.booking = booking;
+    return booking;
+  }
+
+  private readonly runOf = (id: JobId): JobRun | undefined => this.jobs.get(id);
+
   private inUse(machine: HeldMachine): boolean {
-    const gpus = this.deps.types().get(machine.info.type)?.gpus ?? 0;
-    if (gpus <= 0) return !machine.belief.empty;
-    if (machine.belief.pendingStarts.size > 0) return true;
-    for (const [key, listed] of machine.belief.tasks) {
-      if (listed.state === 'exited') continue;
-      const parsed = parseTaskKey(key);
-      const spec = parsed ? this.specOf(parsed.job) : null;
-      if (!spec || usesAccelerators(spec)) return true;
-    }
-    return false;
+    return this.bookingOf(machine, this.deps.clock.now())?.inUse ?? !machine.belief.empty;
   }
 
   private onState(machine: HeldMachine, run: JobRun, active: ActiveTask, listed: ListedTask, now: Millis): void {
@@ -358,12 +420,11 @@
       machine.noteImage(spec.image);
       if (active?.runningAt != null && spec.kind === 'array') {
         const ranS = (now - active.runningAt) / 1000;
-        const typical = median(run.finishedRunsS);
+        const typical = run.typicalRunS;
         if (typical !== null && typical > 1 && run.finishedRunsS.length >= 3) machine.noteRun(ranS / typical);
-        run.finishedRunsS.push(ranS);
-        if (run.finishedRunsS.length > 200) run.finishedRunsS.shift();
+        run.noteRun(ranS);
       }
-      this.deps.nudge();
+      this.soon();
     }
     if (listed.why === 'error') {
       run.errors += 1;
@@ -381,26 +442,28 @@
 
   private release(machine: HeldMachine, run: JobRun, active: ActiveTask, why: string): void {
     run.active.delete(active.index);
+    machine.active.delete(taskKey(run.id, active.index));
     this.deps.log.debug({ job: run.id, index: active.index, machine: machine.id, why }, 'a task is off its machine');
     if (run.spec.kind === 'gang' && !run.done.has(active.index)) {
       // The attempt is broken: the rest leaves by itself or is told to, then all start again.
       for (const other of run.active.values()) if (other.state !== 'running') this.stop(run, other, 'regroup');
     }
-    this.deps.nudge();
+    this.soon();
   }
 
   private releaseAll(machine: HeldMachine, why: string): void {
-    for (const run of this.jobs.values()) {
-      for (const active of [...run.active.values()]) {
-        if (active.machine === machine.id) this.release(machine, run, active, why);
-      }
-    }
+    for (const { run, task } of [...machine.active.values()]) this.release(machine, run, task, why);
   }
 
   private stop(run: JobRun, active: ActiveTask, reason: StopReason, graceS = run.graceS): void {
     if (active.stopping) return;
     if (reason === 'cancelled' || reason === 'regroup') graceS = 0;
     active.stopping = { reason, since: this.deps.clock.now(), graceS };
+    const machine = this.machines.get(active.machine);
+    if (machine) {
+      this.toStop.add(machine);
+      this.touch(machine);
+    }
     this.deps.log.debug(
       { job: run.id, index: active.index, machine: active.machine, reason },
       'a task is to be stopped',
@@ -418,19 +481,33 @@
   round(): void {
     if (this.dropped || this.frozen) return;
     const now = this.deps.clock.now();
-    this.expireLeases(now);
+    const sweep = now - this.sweptAt >= SWEEP_EVERY_MS;
+    if (sweep) {
+      this.sweptAt = now;
+      this.expireLeases(now);
+      this.heedNotices(now);
+    }
     this.prune();
-    for (const run of this.jobs.values()) this.store(run, now);
-    this.heedNotices(now);
+    this.store(now);
     if (now - this.lastSpeculation >= 1000) {
       this.lastSpeculation = now;
       this.speculate(now);
     }
     const orders = new Map<MachineId, Order[]>();
     this.collectStops(orders, now);
-    this.place(orders, now);
-    for (const [id, machine] of this.machines) this.deliver(machine, orders.get(id) ?? [], now);
-    this.letGo(now);
+    if (sweep || this.replan) {
+      this.replan = false;
+      this.place(orders, now);
+    }
+    if (sweep) {
+      for (const [id, machine] of this.machines) this.deliver(machine, orders.get(id) ?? [], now);
+      this.letGo(now);
+      return;
+    }
+    for (const [id, list] of orders) {
+      const machine = this.machines.get(id);
+      if (machine) this.deliver(machine, list, now);
+    }
   }
 
   private expireLeases(now: Millis): void {
@@ -451,26 +528,34 @@
 
   /** Ended jobs stay until nothing of theirs is on a machine. */
   private prune(): void {
-    for (const [id, run] of this.jobs) {
-      if (!run.ended) continue;
+    for (const run of this.endedRuns) {
       for (const active of run.active.values()) this.stop(run, active, 'cancelled');
-      if (run.active.size === 0 && !this.anythingOf(id)) this.jobs.delete(id);
+      if (run.active.size > 0 || this.whereabouts.names(run.id)) continue;
+      this.endedRuns.delete(run);
+      if (this.jobs.get(run.id) === run) this.jobs.delete(run.id);
     }
   }
 
-  private anythingOf(id: JobId): boolean {
-    for (const machine of this.machines.values()) {
-      for (const key of machine.belief.tasks.keys()) if (parseTaskKey(key)?.job === id) return true;
-      for (const key of machine.belief.pendingStarts.keys()) if (parseTaskKey(key)?.job === id) return true;
+  /**
+   * Completions at once; progress as far as changes a second are left, the longest unsaved first.
+   * Progress that is lost costs little, so nobody else's write ever waits for it.
+   */
+  private store(now: Millis): void {
+    const unsaved: JobRun[] = [];
+    for (const run of this.jobs.values()) {
+      if (run.ended || run.storing || run.moving) continue;
+      if (run.complete) {
+        if (now >= run.finishNotBefore) void this.storing(run, () => this.finish(run));
+      } else if (run.done.count > run.stored.count && now - run.lastStoredAt >= PROGRESS_EVERY_MS) unsaved.push(run);
     }
-    return false;
-  }
-
-  private store(run: JobRun, now: Millis): void {
-    if (run.ended || run.storing || run.moving) return;
-    if (run.complete) void this.storing(run, () => this.finish(run));
-    else if (run.done.count > run.stored.count && now - run.lastStoredAt >= PROGRESS_EVERY_MS) {
-      void this.storing(run, () => this.storeProgress(run));
+    if (unsaved.length === 0 || this.storingProgress >= PROGRESS_AT_ONCE) return;
+    unsaved.sort((a, b) => a.lastStoredAt - b.lastStoredAt);
+    for (const run of unsaved.slice(0, PROGRESS_AT_ONCE - this.storingProgress)) {
+      this.storingProgress += 1;
+      void this.storing(run, () => this.storeProgress(run)).finally(() => {
+        this.storingProgress -= 1;
+        this.deps.nudge();
+      });
     }
   }
 
@@ -487,9 +572,12 @@
   private async finish(run: JobRun): Promise<void> {
     const result = await this.deps.registry.end(run.id, run.version, { phase: 'done', done: run.done.count }, 2000);
     if (result === 'ok') {
-      run.ended = true;
+      if (!run.ended) this.endRun(run);
       this.deps.log.info({ job: run.id }, 'job done');
-    } else if (result === 'conflict') await this.reread(run);
+      return;
+    }
+    run.finishNotBefore = millis(this.deps.clock.now() + FINISH_AGAIN_MS);
+    if (result === 'conflict') await this.reread(run);
   }
 
   private async storeProgress(run: JobRun): Promise<void> {
@@ -527,12 +615,10 @@
       const leftS = machine.noticeUntil === null ? null : (machine.noticeUntil - now) / 1000;
       const drain = drained.has(machine.id);
       if (leftS === null && !drain) continue;
-      for (const run of this.jobs.values()) {
-        for (const active of run.active.values()) {
-          if (active.machine !== machine.id || active.stopping) continue;
-          if (drain) this.stopWithMates(run, active, 'drain');
-          else if (leftS !== null && this.mustLeave(run, active, leftS, now)) this.stopWithMates(run, active, 'notice');
-        }
+      for (const { run, task } of [...machine.active.values()]) {
+        if (task.stopping) continue;
+        if (drain) this.stopWithMates(run, task, 'drain');
+        else if (leftS !== null && this.mustLeave(run, task, leftS, now)) this.stopWithMates(run, task, 'notice');
       }
     }
   }
@@ -541,8 +627,7 @@
   private mustLeave(run: JobRun, active: ActiveTask, leftS: number, now: Millis): boolean {
     if (run.spec.kind === 'service' || active.state !== 'running') return true;
     if (run.spec.checkpointS > 0) return leftS < run.spec.saveS + 3;
-    const typical = median(run.finishedRunsS) ?? run.spec.estimateS;
-    return typical - (now - (active.runningAt ?? now)) / 1000 > leftS;
+    return run.expectedRunS - (now - (active.runningAt ?? now)) / 1000 > leftS;
   }
 
   private speculate(now: Millis): void {
@@ -550,9 +635,8 @@
     const booked: { cpu: number; memory: number }[] = [];
     const late = new Set<string>();
     for (const machine of this.machines.values()) {
-      const type = this.deps.types().get(machine.info.type);
-      const free = machine.free(type, this.specOf);
-      if (type && free) booked.push({ cpu: 1 - free.cpus / type.cpus, memory: 1 - free.memoryGb / type.memoryGb });
+      const b = this.bookingOf(machine, now);
+      if (b?.known) booked.push({ cpu: 1 - b.freeCpus / b.type.cpus, memory: 1 - b.freeMemoryGb / b.type.memoryGb });
       if (now - machine.belief.lastHeardAt > 2 * this.deps.settings.workers.reportMs) late.add(machine.id);
     }
     const r = resourceR(booked, t);
@@ -606,18 +690,22 @@
   private readonly specOf = (id: JobId): JobSpec | null => this.jobs.get(id)?.spec ?? null;
 
   private collectStops(orders: Map<MachineId, Order[]>, now: Millis): void {
-    for (const machine of this.machines.values()) {
+    for (const machine of this.toStop) {
       const list: Order[] = [];
+      let any = false;
       for (const [key, listed] of machine.belief.tasks) {
         if (listed.state === 'exited') continue;
         const grace = this.graceOf(machine, key, listed, now);
         if (grace === null) continue;
+        any = true;
         const sentAt = machine.stopSentAt.get(key);
         const saving = listed.state === 'saving' && grace > 0;
         if (saving || (sentAt !== undefined && now - sentAt < STOP_AGAIN_MS)) continue;
         list.push({ op: 'stop', key, attempt: listed.attempt, graceS: grace });
       }
       if (list.length > 0) orders.set(machine.id, list);
+      // What is still on its way there shows in a later message, which puts the machine back in.
+      else if (!any) this.toStop.delete(machine);
     }
   }
 
@@ -657,31 +745,9 @@
   }
 
   private viewOf(machine: HeldMachine, now: Millis): MachineView | null {
-    const type = this.deps.types().get(machine.info.type);
-    const free = machine.free(type, this.specOf);
-    if (!type || !free) return null;
-    const fetching = new Set<string>();
-    const running: Stoppable[] = [];
-    for (const [key, listed] of machine.belief.tasks) {
-      if (listed.state === 'exited') continue;
-      const parsed = parseTaskKey(key);
-      const run = parsed ? this.jobs.get(parsed.job) : undefined;
-      if (!parsed || !run) continue;
-      if (listed.state === 'fetching') fetching.add(run.spec.image);
-      const active = run.active.get(parsed.index);
-      if (run.spec.kind !== 'array' && !run.ended) continue;
-      const ranS = active?.runningAt == null ? 0 : (now - active.runningAt) / 1000;
-      running.push({
-        job: run.id,
-        index: parsed.index,
-        priority: run.spec.priority,
-        cpus: run.spec.cpus,
-        gpus: run.spec.gpus,
-        memoryGb: run.spec.memoryGb,
-        lossS: run.spec.checkpointS > 0 ? Math.min(ranS, run.spec.checkpointS / 2) : ranS,
-        stopping: run.ended || active?.stopping != null,
-      });
-    }
+    const b = this.bookingOf(machine, now);
+    if (!b?.known) return null;
+    const { type } = b;
     return {
       id: machine.id,
       type: machine.info.type,
@@ -690,16 +756,16 @@
       cpus: type.cpus,
       gpus: type.gpus,
       memoryGb: type.memoryGb,
-      freeCpus: free.cpus,
-      freeGpus: free.gpus,
-      freeMemoryGb: free.memoryGb,
+      freeCpus: b.freeCpus,
+      freeGpus: b.freeGpus,
+      freeMemoryGb: b.freeMemoryGb,
       usable: this.usable(machine, now),
-      images: new Set(machine.imageList),
+      images: machine.imageList,
       fetchGbPerS: type.fetchGbPerS,
-      fetching: fetching.size,
+      fetching: b.fetching,
       cpuPrice: (machine.info.spot ? type.spotPrice : type.price) / type.cpus,
       suspicion: machine.suspicion(now),
-      running,
+      running: b.running,
     };
   }
 
@@ -707,7 +773,7 @@
   private slackOf(run: JobRun): { slackS: number; lastSlackS: number } {
     const { spec } = run;
     const sinceS = (this.deps.clock.wall() - run.submittedAt) / 1000;
-    const runS = median(run.finishedRunsS) ?? spec.estimateS;
+    const runS = run.expectedRunS;
     const times: number[] = [];
     if (spec.deadlineS !== null) times.push(spec.deadlineS - runS);
     else {
@@ -724,7 +790,7 @@
   }
 
   private workOf(run: JobRun): number {
-    const runS = Math.max(1, median(run.finishedRunsS) ?? run.spec.estimateS);
+    const runS = Math.max(1, run.expectedRunS);
     return (run.spec.tasks - run.done.count) * runS * run.spec.cpus;
   }
 
@@ -763,22 +829,19 @@
     const teams = this.teamUse();
     const pending: PendingJob[] = [];
     for (const run of this.jobs.values()) {
-      if (run.ended || run.moving || run.complete || now < run.notBefore) continue;
+      if (run.missing <= 0 || run.ended || run.moving || run.complete || now < run.notBefore) continue;
       // After a claim, what the earlier holder may have started is not started again before it is seen.
       if (this.claimFence.size > 0 && (run.born <= this.claimedAt || teams.has(run.spec.team))) continue;
+      // Accepted by this very node, perhaps after a claim that the watch has not shown yet: the claimant
+      // starts it at once, on machines that we might still command.
+      if (!this.deps.certain() && run.born > this.deps.mirror.seenUpTo) continue;
       if (run.spec.kind === 'gang' && run.active.size > 0) continue;
       const ready = run.ready(run.spec.kind === 'gang' ? run.spec.tasks : MAX_READY);
       if (ready.length === 0) {
         run.unplacedSince = null;
         continue;
       }
-      const zoneUse = new Map<string, number>();
-      const machineUse = new Map<MachineId, number>();
-      for (const active of run.active.values()) {
-        const zone = this.machines.get(active.machine)?.info.zone ?? '';
-        zoneUse.set(zone, (zoneUse.get(zone) ?? 0) + 1);
-        machineUse.set(active.machine, (machineUse.get(active.machine) ?? 0) + 1);
-      }
+      const { zoneUse, machineUse } = this.useOf(run);
       pending.push({
         spec: run.spec,
         ready,
@@ -789,6 +852,10 @@
         workS: this.workOf(run),
       });
     }
+    if (pending.length === 0) {
+      this.noteDemand([], now);
+      return;
+    }
     const views = [...this.machines.values()]
       .map((m) => this.viewOf(m, now))
       .filter((v): v is MachineView => v !== null);
@@ -816,7 +883,9 @@
         number = attempt(this.claimedAt * 2 ** 20 + this.attempts);
         gangAttempts.set(start.job, number);
       }
-      run.active.set(start.index, {
+      const machine = this.machines.get(start.machine);
+      if (!machine) continue;
+      this.assign(machine, run, {
         index: start.index,
         machine: start.machine,
         attempt: number,
@@ -834,11 +903,25 @@
 
   /** A task may be started only if it is possibly nowhere. */
   private possiblyAnywhere(key: TaskKey): boolean {
-    for (const machine of this.machines.values()) if (machine.belief.possibly(key)) return true;
+    for (const id of this.whereabouts.machinesOf(key)) if (this.machines.get(id)?.belief.possibly(key)) return true;
     return false;
   }
 
+  /** Where a job's tasks are, as far as its kind of job asks for it. */
+  private useOf(run: JobRun): { zoneUse: Map<string, number>; machineUse: Map<MachineId, number> } {
+    const zoneUse = new Map<string, number>();
+    const machineUse = new Map<MachineId, number>();
+    if (!run.spec.oneZone && !run.spec.spread && run.spec.kind !== 'service') return { zoneUse, machineUse };
+    for (const active of run.active.values()) {
+      const zone = this.machines.get(active.machine)?.info.zone ?? '';
+      zoneUse.set(zone, (zoneUse.get(zone) ?? 0) + 1);
+      machineUse.set(active.machine, (machineUse.get(active.machine) ?? 0) + 1);
+    }
+    return { zoneUse, machineUse };
+  }
+
   private noteDemand(unplaced: readonly { readonly job: JobId; readonly count: number }[], now: Millis): void {
+    let looks = 0;
     const waiting = new Set(unplaced.map((u) => u.job));
     for (const run of this.jobs.values()) if (!waiting.has(run.id)) run.unplacedSince = null;
     this.demand = [];
@@ -854,30 +937,57 @@
         missing,
         running: run.runningCount,
         slackS: this.slackOf(run).slackS,
-        estimateS: median(run.finishedRunsS) ?? run.spec.estimateS,
+        estimateS: run.expectedRunS,
         cpus: run.spec.cpus,
         gpus: run.spec.gpus,
       });
-      if (now - run.unplacedSince > MOVE_AFTER_MS) this.moveElsewhere(run, count);
+      if (now - run.unplacedSince <= MOVE_AFTER_MS || looks >= LOOK_ELSEWHERE_AT_ONCE) continue;
+      // Room elsewhere is found by the others' summaries, which are no newer than this either.
+      if (run.lookedAt !== null && now - run.lookedAt < LOOK_ELSEWHERE_EVERY_MS) continue;
+      run.lookedAt = now;
+      looks += 1;
+      this.moveElsewhere(run, count);
     }
   }
 
   /** A job with nothing possibly there may change shards, to where it can start. */
   private moveElsewhere(run: JobRun, count: number): void {
-    if (run.active.size > 0 || run.storing || run.moving || this.claimFence.size > 0 || this.anythingOf(run.id)) return;
+    if (run.active.size > 0 || run.storing || run.moving || this.claimFence.size > 0) return;
+    if (this.whereabouts.names(run.id)) return;
     const to = this.deps.roomElsewhere(run.spec, count);
     if (to === null || to === this.shard) return;
     run.moving = true;
     const key = jobKey(run.id);
     const done = Bits.decode(run.spec.tasks, run.done.encode());
     const value = { ...(encodeRecord({ ...run.record, done, shard: to }) as object), born: run.born };
+    const own = this.deps.mirror.get(shardKey(this.shard));
+    if (!own) {
+      run.moving = false;
+      return;
+    }
+    // Guarded by the shard too: whoever has claimed it may have started the job without a write.
+    const guards = [
+      { key, version: run.version as number },
+      { key: shardKey(this.shard), version: own.version as number },
+    ];
     void this.deps.state
-      .txn(Urgency.shard, [{ key, version: run.version }], [{ put: key, value }])
+      .txn(Urgency.shard, guards, [{ put: key, value }])
       .then(async (result) => {
         if (result.kind === 'ok') {
           this.deps.log.info({ job: run.id, from: this.shard, to }, 'a waiting job moves to a shard with room');
           this.deps.mirror.apply({ key, value, removed: false, version: result.revision });
-        } else await this.reread(run);
+          return;
+        }
+        // Applied later, it would give the job to another holder while this one runs it.
+        if (result.kind === 'unknown')
+          await settleKey(
+            key,
+            this.deps.state,
+            this.deps.mirror,
+            () => !this.dropped && !run.ended,
+            (stored) => (isObject(stored) ? { ...stored, born: run.born } : stored),
+          );
+        await this.reread(run);
       })
       .finally(() => {
         run.moving = false;
@@ -912,57 +1022,70 @@
     if (!machine.belief.empty && this.inUse(machine)) return;
     machine.leaving = { to, since: this.deps.clock.now() };
     // Idle accelerators leave although their cpus are lent out: that work saves and moves.
-    for (const run of this.jobs.values()) {
-      for (const active of run.active.values()) if (active.machine === id) this.stopWithMates(run, active, 'drain');
-    }
-    this.deps.nudge();
+    for (const { run, task } of [...machine.active.values()]) this.stopWithMates(run, task, 'drain');
+    this.soon();
   }
 
+  /** All that are ready to leave for one place leave in one write: each writes the whole block's record. */
   private letGo(now: Millis): void {
+    const ready = new Map<ShardName | null, HeldMachine[]>();
     for (const machine of this.machines.values()) {
       const { leaving } = machine;
       if (!leaving || leaving.since < 0) continue;
       if (now - leaving.since > LEAVE_WITHIN_MS) {
         machine.leaving = null;
+        this.soon();
         continue;
       }
       const { belief } = machine;
       // Only empty, with nothing possibly there, and with nothing that we still have to store.
       if (!belief.fenced || !belief.empty || belief.tasks.size > 0 || !machine.courier.idle) continue;
-      void this.moveMachine(machine, leaving.to as ShardName | null);
+      const to = leaving.to as ShardName | null;
+      const list = ready.get(to);
+      if (list) list.push(machine);
+      else ready.set(to, [machine]);
     }
+    const [next] = ready;
+    if (!next || this.moving) return;
+    this.moving = true;
+    void this.moveMachines(next[1], next[0]).finally(() => {
+      this.moving = false;
+    });
   }
 
-  private async moveMachine(machine: HeldMachine, to: ShardName | null): Promise<void> {
-    const { mirror, state, log } = this.deps;
+  private async moveMachines(machines: readonly HeldMachine[], to: ShardName | null): Promise<void> {
+    const { mirror, state, log, settings } = this.deps;
     const own = mirror.get(shardKey(this.shard));
     const value = own ? decodeShard(own.value) : null;
     if (!own || !value || value.holder !== this.deps.self) return;
-    const info = { ...machine.info, address: machine.courier.knownAddress };
-    // From here on its reports are not answered: whoever has it next counts its lease from the write.
-    machine.leaving = { to, since: millis(-1) };
+    const target = to === null ? undefined : mirror.get(shardKey(to));
+    const theirs = target ? decodeShard(target.value) : null;
+    const room = theirs ? blockLimit(settings.stateLimits.valueKb) - theirs.machines.length : Infinity;
+    const leaving = machines.slice(0, to !== null && !theirs ? 0 : Math.max(0, room));
+    for (const machine of machines.slice(leaving.length)) machine.leaving = null;
+    if (leaving.length === 0) return;
+    // From here on their reports are not answered: whoever has them next counts their leases from the write.
+    for (const machine of leaving) machine.leaving = { to, since: millis(-1) };
+    const ids = new Set(leaving.map((machine) => machine.id));
     const guards = [{ key: shardKey(this.shard), version: own.version as number }];
-    const mine = encodeShard({ ...value, machines: value.machines.filter((m) => m.id !== machine.id) });
+    const earlier = [...this.earlier.values()];
+    const mine = encodeShard({ ...value, earlier, machines: value.machines.filter((m) => !ids.has(m.id)) });
     const ops = [{ put: shardKey(this.shard), value: mine }];
-    if (to !== null) {
-      const target = mirror.get(shardKey(to));
-      const theirs = target ? decodeShard(target.value) : null;
-      if (!target || !theirs) {
-        machine.leaving = null;
-        return;
-      }
+    if (to !== null && target && theirs) {
+      const infos = leaving.map((machine) => ({ ...machine.info, address: machine.courier.knownAddress }));
       guards.push({ key: shardKey(to), version: target.version });
-      ops.push({ put: shardKey(to), value: encodeShard({ ...theirs, machines: [...theirs.machines, info] }) });
+      ops.push({ put: shardKey(to), value: encodeShard({ ...theirs, machines: [...theirs.machines, ...infos] }) });
     }
     const result = await state.txn(Urgency.shard, guards, ops);
     if (result.kind === 'ok') {
-      log.info({ machine: machine.id, from: this.shard, to }, 'a machine leaves the block');
+      log.info({ machines: [...ids], from: this.shard, to }, 'machines leave the block');
       for (const op of ops) mirror.apply({ key: op.put, value: op.value, removed: false, version: result.revision });
       return;
     }
-    // An unknown write may still be applied: the machine takes nothing new until that is settled.
+    // An unknown write may still be applied: the machines take nothing new until that is settled.
     if (result.kind === 'unknown') await settleShard(this.shard, state, mirror, () => !this.dropped);
-    machine.leaving = null;
+    for (const machine of leaving) machine.leaving = null;
+    this.soon();
   }
 
   /** Most of the block is silent for reports and commands alike: more likely our network than theirs. */
@@ -1000,7 +1123,7 @@
     const value = own ? decodeShard(own.value) : null;
     if (!own || !value || value.holder !== this.deps.self) return false;
     this.frozen = true;
-    const next = encodeShard({ ...value, released: true });
+    const next = encodeShard({ ...value, earlier: [...this.earlier.values()], released: true });
     const result = await this.deps.state.txn(
       Urgency.shard,
       [{ key: shardKey(this.shard), version: own.version }],
@@ -1032,7 +1155,7 @@
       if (now - machine.belief.lastHeardAt < 2.5 * this.deps.settings.workers.reportMs) heardLately += 1;
     }
     for (const machine of this.machines.values()) {
-      const view = this.viewOf(machine, now);
+      const booking = this.bookingOf(machine, now);
       const silentMs = now - machine.belief.lastHeardAt;
       // Not acknowledged since the claim: it may run what was cancelled, and old jobs wait for it.
       const unknown = this.claimFence.has(machine.id) && now - this.since > this.deps.settings.workers.leaseMs + 2000;
@@ -1046,14 +1169,15 @@
         type: machine.info.type,
         zone: machine.info.zone,
         spot: machine.info.spot,
-        freeCpus: view?.freeCpus ?? 0,
-        freeGpus: view?.freeGpus ?? 0,
-        freeMemoryGb: view?.freeMemoryGb ?? 0,
-        ...yielding(view),
+        freeCpus: booking?.freeCpus ?? 0,
+        freeGpus: booking?.freeGpus ?? 0,
+        freeMemoryGb: booking?.freeMemoryGb ?? 0,
+        yieldCpus: booking?.yieldCpus ?? 0,
+        yieldMemoryGb: booking?.yieldMemoryGb ?? 0,
         idleMs: this.inUse(machine) ? 0 : now - machine.emptySince,
         empty: machine.belief.empty,
         // Others send jobs and machines by this: what is only said to be usable makes jobs go in circles.
-        usable: view !== null && this.sound(machine, now),
+        usable: booking?.known === true && this.sound(machine, now),
         lost: machine.lost || dead || unknown,
         faulty: machine.faulty(now),
         images: machine.imageList,
--- a/src/holder/machine.ts
+++ b/src/holder/machine.ts
@@ -1,17 +1,8 @@
-import type { MachineType } from '../cloud/index.js';
-import type { JobSpec } from '../jobs/index.js';
-import {
-  parseTaskKey,
-  type Clock,
-  type JobId,
-  type Logger,
-  type MachineId,
-  type Millis,
-  type Revision,
-  type TaskKey,
-} from '../kernel/index.js';
+import type { Clock, JobId, Logger, MachineId, Millis, Revision, TaskKey } from '../kernel/index.js';
 import type { BlockMachine } from '../membership/index.js';
-import { Courier, MachineBelief, type CourierHooks } from '../workers/index.js';
+import { Courier, MachineBelief, type CourierHooks, type Mentions } from '../workers/index.js';
+import type { Booking } from './booking.js';
+import type { ActiveTask, JobRun } from './run.js';
 
 interface Failure {
   readonly job: JobId;
@@ -24,6 +15,10 @@
 export class HeldMachine {
   readonly belief: MachineBelief;
   readonly courier: Courier;
+  /** The tasks that this holder has put here or found here. */
+  readonly active = new Map<TaskKey, { readonly run: JobRun; readonly task: ActiveTask }>();
+  /** What is booked here, as of the last change; see `booking.ts`. */
+  booking: Booking | null = null;
   /** Exits that have been taken in, until the worker no longer lists them. */
   readonly seenExits = new Map<TaskKey, number>();
   readonly stopSentAt = new Map<TaskKey, Millis>();
@@ -44,10 +39,11 @@
     base: Revision,
     clock: Clock,
     log: Logger,
+    mentions: Mentions,
     hooks: CourierHooks,
   ) {
     const now = clock.now();
-    this.belief = new MachineBelief(base, now);
+    this.belief = new MachineBelief(base, now, { mentions, machine: info.id });
     this.courier = new Courier(info.id, this.belief, clock, log, hooks);
     this.courier.setAddress(info.address);
     this.coolUntil = now;
@@ -89,30 +85,4 @@
     const recent = this.failures.filter((f) => now - f.at < FAILURE_MEMORY_MS);
     return recent.length >= 3 || new Set(recent.map((f) => f.job)).size >= 2 || (this.runs >= 4 && this.slowness > 2);
   }
-
-  /** What is free; null for machines whose type is not known or that hold tasks of unknown size. */
-  free(
-    type: MachineType | undefined,
-    specOf: (id: JobId) => JobSpec | null,
-  ): { cpus: number; gpus: number; memoryGb: number } | null {
-    if (!type) return null;
-    let { cpus, gpus, memoryGb } = type;
-    const subtract = (key: TaskKey): boolean => {
-      const parsed = parseTaskKey(key);
-      const spec = parsed ? specOf(parsed.job) : null;
-      if (!spec) return false;
-      cpus -= spec.cpus;
-      gpus -= spec.gpus;
-      memoryGb -= spec.memoryGb;
-      return true;
-    };
-    for (const [key, listed] of this.belief.tasks) {
-      if (listed.state !== 'exited' && !subtract(key)) return null;
-    }
-    for (const key of this.belief.pendingStarts.keys()) {
-      const listed = this.belief.tasks.get(key);
-      if ((!listed || listed.state === 'exited') && !subtract(key)) return null;
-    }
-    return { cpus, gpus, memoryGb };
-  }
 }
--- a/src/holder/run.ts
+++ b/src/holder/run.ts
@@ -9,6 +9,7 @@
   type WallMillis,
 } from '../kernel/index.js';
 import type { JobRecord, JobSpec } from '../jobs/index.js';
+import { median } from '../speculation/index.js';
 import type { TaskState } from '../workers/index.js';
 
 export type StopReason = 'cancelled' | 'preempted' | 'notice' | 'drain' | 'straggler' | 'regroup';
@@ -25,6 +26,8 @@
 }
 
 const KEEP_OFF_MS = 60_000;
+const MAX_RUNS = 100;
+const NONE: ReadonlySet<MachineId> = new Set();
 
 /** An open job as its holder runs it. */
 export class JobRun {
@@ -42,10 +45,15 @@
   notBefore: Millis;
   readonly restarted = new Set<number>();
   readonly finishedRunsS: number[] = [];
+  private typical: number | null = null;
   /** Machines that this job keeps away from, and until when. */
   readonly avoid = new Map<MachineId, Millis>();
   unplacedSince: Millis | null = null;
   moving = false;
+  /** When another shard was last looked for. */
+  lookedAt: Millis | null = null;
+  /** After a completion that could not be stored. */
+  finishNotBefore: Millis;
   private cursor = 0;
 
   constructor(
@@ -58,6 +66,7 @@
     this.stored = record.done;
     this.lastStoredAt = seenAt;
     this.notBefore = seenAt;
+    this.finishNotBefore = seenAt;
   }
 
   get id(): JobId {
@@ -72,6 +81,22 @@
     return this.record.submittedAt;
   }
 
+  noteRun(ranS: number): void {
+    this.finishedRunsS.push(ranS);
+    if (this.finishedRunsS.length > MAX_RUNS) this.finishedRunsS.shift();
+    this.typical = median(this.finishedRunsS);
+  }
+
+  /** Median run of the tasks that are through; null before the first. */
+  get typicalRunS(): number | null {
+    return this.typical;
+  }
+
+  /** What a task of it is expected to take. */
+  get expectedRunS(): number {
+    return this.typical ?? this.spec.estimateS;
+  }
+
   get complete(): boolean {
     return this.spec.kind !== 'service' && this.done.count >= this.spec.tasks;
   }
@@ -93,6 +118,7 @@
   }
 
   avoided(now: Millis): ReadonlySet<MachineId> {
+    if (this.avoid.size === 0) return NONE;
     for (const [machine, until] of this.avoid) if (until < now) this.avoid.delete(machine);
     return new Set(this.avoid.keys());
   }
--- a/src/jobs/registry.ts
+++ b/src/jobs/registry.ts
@@ -1,7 +1,7 @@
 import type { MachineType } from '../cloud/index.js';
 import type { TeamFacts } from '../config/index.js';
 import { Bits, type Clock, type JobId, type Logger, type Revision, type ShardName } from '../kernel/index.js';
-import { finalKey, jobKey, Urgency, type Mirror, type StateClient } from '../state/index.js';
+import { finalKey, Freshness, jobKey, Urgency, type Mirror, type StateClient } from '../state/index.js';
 import { whyNever } from './admission.js';
 import {
   decodeFinal,
@@ -43,6 +43,7 @@
 export class JobRegistry {
   /** Finals never change, so they may be kept. */
   private readonly finals = new Map<JobId, JobFinal>();
+  private readonly freshness: Freshness;
 
   constructor(
     private readonly state: StateClient,
@@ -51,7 +52,9 @@
     private readonly hooks: RegistryHooks,
     private readonly clock: Clock,
     private readonly log: Logger,
-  ) {}
+  ) {
+    this.freshness = new Freshness(state, mirror, clock);
+  }
 
   /** The present state of a job, read afresh; an ended job is in `finals` before it leaves `jobs`. */
   async look(id: JobId): Promise<JobState> {
@@ -126,7 +129,7 @@
   }
 
   async query(id: JobId): Promise<Outcome> {
-    const state = await this.look(id);
+    const state = this.openInMirror(id, await this.mayUseMirror(id)) ?? (await this.look(id));
     switch (state.kind) {
       case 'unavailable':
         return later('the state service cannot be read');
@@ -145,6 +148,17 @@
     }
   }
 
+  /** A job that is over needs no mirror: its final state can't change any more. */
+  private mayUseMirror(id: JobId): Promise<boolean> {
+    return this.finals.has(id) ? Promise.resolve(false) : this.freshness.ensure();
+  }
+
+  private openInMirror(id: JobId, fresh: boolean): JobState | null {
+    const entry = fresh ? this.mirror.get(jobKey(id)) : undefined;
+    const record = entry && !this.finals.has(id) ? decodeRecord(entry.value) : null;
+    return entry && record ? { kind: 'open', record, version: entry.version } : null;
+  }
+
   async cancel(id: JobId): Promise<Outcome> {
     for (let tries = 0; tries < 4; tries++) {
       const state = await this.look(id);
--- a/src/kernel/loop.ts
+++ b/src/kernel/loop.ts
@@ -1,6 +1,9 @@
 import { catchError, concatMap, EMPTY, from, interval, merge, Subject, throttleTime, type Subscription } from 'rxjs';
+import { sleep } from './http.js';
 import type { Logger } from './logger.js';
 
+const MOST_REST_MS = 400;
+
 /**
  * A reconcile loop: works out the difference between what is wanted and what is, every `everyMs`
  * and soon after a nudge. Rounds never overlap, and a round that fails is logged, never fatal.
@@ -17,6 +20,8 @@
     private readonly log: Logger,
     private readonly round: () => Promise<void> | void,
     private readonly settleMs = 20,
+    /** After a round, so many times its length belongs to everything else, whatever nudges. */
+    private readonly restFactor = 0,
   ) {}
 
   start(): void {
@@ -48,8 +53,11 @@
   private async once(): Promise<void> {
     this.busy = true;
     this.again = false;
+    const began = performance.now();
     try {
       await this.round();
+      const restMs = Math.min(MOST_REST_MS, (performance.now() - began) * this.restFactor);
+      if (restMs > this.settleMs) await sleep(restMs);
     } catch (error) {
       this.log.error({ err: error, loop: this.name }, 'a reconcile round failed');
     } finally {
--- a/src/leasing/leader.ts
+++ b/src/leasing/leader.ts
@@ -11,9 +11,16 @@
   type Revision,
   type ShardName,
 } from '../kernel/index.js';
-import { decodeShard, encodeShard, settleShard, type BlockMachine, type ShardValue } from '../membership/index.js';
+import {
+  blockLimit,
+  encodeShard,
+  settleShard,
+  type BlockMachine,
+  type KnownShard,
+  type ShardDirectory,
+} from '../membership/index.js';
 import type { PeerMessage, ShardSummary } from '../peers/index.js';
-import { jobKey, JOBS, LEADER, shardKey, SHARDS, Urgency, type Mirror, type StateClient } from '../state/index.js';
+import { jobKey, JOBS, LEADER, shardKey, Urgency, type Mirror, type StateClient } from '../state/index.js';
 import type { WorkerMessage } from '../workers/index.js';
 import { kindKey, planLeases, type LooseMachine } from './plan.js';
 
@@ -25,6 +32,9 @@
   readonly clock: Clock;
   readonly log: Logger;
   readonly listLagMs: number;
+  /** How large a value the state service takes. */
+  readonly valueKb: number;
+  readonly shards: ShardDirectory;
   leading(): Revision | null;
   summaries(): readonly ShardSummary[];
   types(): ReadonlyMap<string, MachineType>;
@@ -108,15 +118,6 @@
     if (this.gone.size > 2000) this.gone.delete([...this.gone][0] ?? id);
   }
 
-  private shards(): Map<ShardName, { value: ShardValue; version: Revision }> {
-    const shards = new Map<ShardName, { value: ShardValue; version: Revision }>();
-    for (const entry of this.deps.mirror.under(SHARDS)) {
-      const value = decodeShard(entry.value);
-      if (value) shards.set(entry.key.slice(SHARDS.length) as ShardName, { value, version: entry.version });
-    }
-    return shards;
-  }
-
   async round(): Promise<void> {
     const term = this.deps.leading();
     if (term === null) {
@@ -131,17 +132,15 @@
       this.listAt = millis(-1e9);
     }
     if (now - this.listAt > LIST_EVERY_MS && !this.listing && this.deps.cloud.mayCall()) void this.list(now);
-    const shards = this.shards();
-    const placed = new Map<MachineId, ShardName>();
-    for (const [name, { value }] of shards) for (const m of value.machines) placed.set(m.id, name);
+    const shards = this.deps.shards.all;
     const summaries = this.deps.summaries().filter((s) => shards.get(s.shard)?.value.holder === s.holder);
-    await this.removeLost(summaries, placed, now);
-    await this.returnLoose(placed, now);
+    await this.removeLost(summaries, now);
+    await this.returnLoose(now);
     if (this.deps.types().size === 0) return;
 
     const loose: LooseMachine[] = [];
     for (const known of this.known.values()) {
-      if (placed.has(known.id) || known.doomed || known.phase === 'failed' || this.releasing.has(known.id)) continue;
+      if (this.placed(known.id) || known.doomed || known.phase === 'failed' || this.releasing.has(known.id)) continue;
       const up = known.reportedAt !== null && now - known.reportedAt < 10_000;
       loose.push({ ...known, up, ageS: (now - known.rentedAt) / 1000 });
     }
@@ -172,6 +171,10 @@
     if (settled && plan.rents.length > 0) void this.rent(plan.rents, term);
   }
 
+  private placed(id: MachineId): boolean {
+    return this.deps.shards.shardOf(id) !== null;
+  }
+
   private readonly specOf = (id: JobId): JobSpec | null => {
     const entry = this.deps.mirror.get(jobKey(id));
     return entry ? decodeSpec(entry.value) : null;
@@ -193,7 +196,7 @@
     machine: MachineId,
     from: ShardName,
     to: ShardName | null,
-    shards: ReadonlyMap<ShardName, { value: ShardValue }>,
+    shards: ReadonlyMap<ShardName, KnownShard>,
     now: Millis,
   ): void {
     if (now - (this.asked.get(machine) ?? -1e9) < TRANSFER_PAUSE_MS) return;
@@ -235,14 +238,14 @@
     const byShard = new Map<ShardName, MachineId[]>();
     for (const { machine, to } of grants) byShard.set(to, [...(byShard.get(to) ?? []), machine]);
     for (const [to, machines] of byShard) {
-      const shards = this.shards();
+      const shards = this.deps.shards.all;
       const target = shards.get(to);
       if (!target || this.deps.leading() !== term) return;
-      const taken = new Set([...shards.values()].flatMap((s) => s.value.machines.map((m) => m.id)));
+      const most = blockLimit(this.deps.valueKb) - target.value.machines.length;
       const added: BlockMachine[] = [];
       for (const id of machines) {
         const known = this.known.get(id);
-        if (known && !taken.has(id))
+        if (known && !this.placed(id) && added.length < most)
           added.push({ id, type: known.type, zone: known.zone, spot: known.spot, address: known.address });
       }
       if (added.length === 0) continue;
@@ -261,15 +264,11 @@
   }
 
   /** Machines that their holder has given up for lost: deleted first, then taken out of the block. */
-  private async removeLost(
-    summaries: readonly ShardSummary[],
-    placed: Map<MachineId, ShardName>,
-    now: Millis,
-  ): Promise<void> {
+  private async removeLost(summaries: readonly ShardSummary[], now: Millis): Promise<void> {
     const lost = new Set<MachineId>();
     for (const s of summaries) {
       for (const m of s.machines) {
-        if (!placed.has(m.id)) continue;
+        if (!this.placed(m.id)) continue;
         const known = this.known.get(m.id);
         if (m.lost || (m.faulty && m.empty) || known?.phase === 'failed') lost.add(m.id);
       }
@@ -288,7 +287,7 @@
   private async takeOut(ids: ReadonlySet<MachineId>): Promise<void> {
     for (let tries = 0; tries < 3; tries++) {
       let again = false;
-      for (const [name, { value, version }] of this.shards()) {
+      for (const [name, { value, version }] of [...this.deps.shards.all]) {
         const rest = value.machines.filter((m) => !ids.has(m.id));
         const term = this.deps.leading();
         if (rest.length === value.machines.length || term === null) continue;
@@ -318,10 +317,10 @@
   }
 
   /** Machines in no block that are to go: let go by their holder, never up, silent or failed. */
-  private async returnLoose(placed: ReadonlyMap<MachineId, ShardName>, now: Millis): Promise<void> {
+  private async returnLoose(now: Millis): Promise<void> {
     const ids: MachineId[] = [];
     for (const known of this.known.values()) {
-      if (placed.has(known.id)) continue;
+      if (this.placed(known.id)) continue;
       const bootS = this.deps.types().get(known.type)?.bootS ?? 60;
       const ageS = (now - known.rentedAt) / 1000;
       const silentS = (now - Math.max(known.reportedAt ?? -1e9, this.startedAt)) / 1000;
--- a/src/leasing/plan.ts
+++ b/src/leasing/plan.ts
@@ -10,6 +10,10 @@
 const CALL_IN_SLACK_S = 40;
 /** A kind is dear for a job when a cpu costs this many times as much as on the cheapest that it may use. */
 const DEAR = 2.5;
+/** Of the machines that are long idle, so many go at a time. */
+const RELEASE_SHARE = 0.1;
+/** Whether services still find room is worked out anew for each: bounded, as a fleet is large. */
+const RELEASE_LOOKS = 20;
 
 /** A machine that is rented but in no block yet. */
 export interface LooseMachine {
@@ -207,12 +211,12 @@
   }
 
   // Room for services: what is free anywhere counts, partly used machines first.
-  const room = (without: MachineId | null): Supply[] => {
+  const room = (without: ReadonlySet<MachineId>): Supply[] => {
     const supplies: Supply[] = [];
     for (const shard of input.shards) {
       for (const m of shard.machines) {
         const type = input.types.get(m.type);
-        if (!type || !m.usable || m.faulty || m.lost || m.id === without) continue;
+        if (!type || !m.usable || m.faulty || m.lost || without.has(m.id)) continue;
         // Work that gives way to services at once is as good as free.
         const given = type.gpus > 0 ? 0 : 1;
         const [cpus, memoryGb] = [m.freeCpus + given * m.yieldCpus, m.freeMemoryGb + given * m.yieldMemoryGb];
@@ -232,12 +236,14 @@
   };
 
   const anyWant = wants.some((want) => want.slots > 0);
-  let releasing = 0;
+  const released = new Set<MachineId>();
+  let looks = 0;
   const longIdle = stillIdle
     .filter(({ machine }) => machine.idleMs > input.idleReturnS * 1000 && input.ageOf(machine.id) > 50)
     .sort((a, b) => hourly(input, b.machine) - hourly(input, a.machine));
   for (const { machine, shard } of longIdle) {
-    if (releasing >= 2) break;
+    // By and by: what is idle now may be asked for in a moment, and it all went up together.
+    if (released.size >= Math.max(2, longIdle.length * RELEASE_SHARE) || looks >= RELEASE_LOOKS) break;
     const supply = input.types.get(machine.type);
     if (!supply) continue;
     if (
@@ -245,13 +251,16 @@
       wants.some((w) => w.slots > 0 && allowedKind(w.spec, machine) && (w.spec.gpus > 0 || machine.freeGpus < EPSILON))
     )
       continue;
-    if (machine.freeGpus < EPSILON && !machine.spot && lacking(room(machine.id)).length > 0) continue;
+    if (machine.freeGpus < EPSILON && !machine.spot) {
+      looks += 1;
+      if (lacking(room(new Set([...released, machine.id]))).length > 0) continue;
+    }
     releases.push({ machine: machine.id, from: shard.shard });
-    releasing += 1;
+    released.add(machine.id);
   }
 
   const rents = new Map<string, RentWish>();
-  const needs = [...wants, ...lacking(room(null))];
+  const needs = [...wants, ...lacking(room(new Set()))];
   for (const want of needs) rentFor(want, input, rents, want.spec.kind === 'array' ? DEAR : Infinity);
   // Kinds that are dear for the job are rented only for what is late even by a generous measure.
   holdBack(uncut, input, input.patience * 1.5);
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -11,7 +11,7 @@
   type ShardName,
 } from '../kernel/index.js';
 import { LEADER, nodeKey, shardKey, Urgency, type Mirror, type StateClient } from '../state/index.js';
-import { decodeShard, encodeShard, type ShardValue } from './shard.js';
+import { decodeShard, earlierHolders, encodeShard, type PreviousHolder, type ShardValue } from './shard.js';
 
 export const LEASE_MS = 4000;
 const RENEW_EVERY_MS = 1000;
@@ -19,16 +19,10 @@
 const RANK_DELAY_MS = 500;
 const FIRST_START_MS = 4000;
 
-/** An earlier holder that may still live and command. */
-export interface PreviousHolder {
-  readonly node: NodeName;
-  readonly incarnation: Incarnation;
-}
-
 export interface MembershipHooks {
   held(): readonly ShardName[];
   /** After a lapse: reads afresh whether our shards are still ours. */
-  verify(): Promise<void>;
+  verify(): Promise<boolean>;
   /** False while another node would hold shards better. */
   mayClaim(): boolean;
 }
@@ -41,8 +35,9 @@
 /** This node's lease and key, the election of the leader, and claims of shards. */
 export class Membership {
   private lease: number | undefined;
+  private verified = false;
   private nodeVersion: Revision | undefined;
-  private readonly previous = new Map<ShardName, PreviousHolder | null>();
+  private readonly previous = new Map<ShardName, readonly PreviousHolder[]>();
   private vacantSince = new Map<ShardName, Millis>();
   private provenAt: Millis;
   private readonly startedAt: Millis;
@@ -70,6 +65,11 @@
     return this.provenAt;
   }
 
+  /** True while our lease certainly lasts: until then nobody can have claimed a shard of ours. */
+  get certain(): boolean {
+    return this.clock.now() < this.provenAt + LEASE_MS / 1.002;
+  }
+
   alive = (node: NodeName): Incarnation | null => {
     const value = this.mirror.get(nodeKey(node))?.value;
     return isObject(value) && typeof value['incarnation'] === 'string' ? (value['incarnation'] as Incarnation) : null;
@@ -80,6 +80,11 @@
     return [this.self, ...this.others].map((node) => shardName(node)).sort();
   }
 
+  /** How many controllers share the state service's changes a second, this one included. */
+  get aliveCount(): number {
+    return 1 + this.others.filter((node) => this.alive(node) !== null).length;
+  }
+
   get leader(): NodeName | null {
     const value = this.mirror.get(LEADER)?.value;
     return isObject(value) && typeof value['node'] === 'string' ? (value['node'] as NodeName) : null;
@@ -102,13 +107,16 @@
     if (this.lease !== undefined && this.nodeVersion !== undefined) {
       const renewed = await this.state.renewLease(this.lease);
       if (renewed === 'ok') {
-        this.provenAt = sentAt;
+        // After a lapse, others may have claimed meanwhile: the lease proves nothing before that is read.
+        this.verified ||= await this.hooks.verify();
+        if (this.verified) this.provenAt = sentAt;
         return;
       }
       if (renewed === 'unavailable') return;
       this.log.info('the lease in the state service is gone, registering again');
       this.lease = undefined;
       this.nodeVersion = undefined;
+      this.verified = false;
     }
     this.lease ??= (await this.state.grantLease(LEASE_MS)) ?? undefined;
     if (this.lease === undefined) return;
@@ -122,7 +130,7 @@
     if (result.kind === 'ok') {
       this.nodeVersion = result.revision;
       this.mirror.apply({ key: nodeKey(this.self), value, removed: false, version: result.revision });
-      await this.hooks.verify();
+      this.verified = await this.hooks.verify();
       this.log.info({ incarnation: this.incarnation }, 'registered with the state service');
     } else if (result.kind === 'no-lease') this.lease = undefined;
   }
@@ -195,15 +203,16 @@
     if (holder !== null && holder !== this.self && value?.released !== true) {
       guards.push({ key: nodeKey(holder), version: this.mirror.get(nodeKey(holder))?.version ?? 0 });
     }
+    const earlier = earlierHolders(value, this.self);
     const next: ShardValue = {
       holder: this.self,
       incarnation: this.incarnation,
       released: false,
+      earlier,
       machines: value?.machines ?? [],
     };
-    const mayLive = value !== null && holder !== null && holder !== this.self && !value.released;
     // Noted before the write: a claim whose outcome is unknown shows in the watch.
-    this.previous.set(shard, mayLive ? { node: holder, incarnation: value.incarnation } : null);
+    this.previous.set(shard, earlier);
     const result = await this.state.txn(Urgency.session, guards, [{ put: shardKey(shard), value: encodeShard(next) }]);
     if (result.kind !== 'ok') {
       if (result.kind === 'unknown') await this.refresh(shard);
@@ -215,8 +224,8 @@
   }
 
   /** Who held a shard before our latest claim and may still command. */
-  previousOf(shard: ShardName): PreviousHolder | null {
-    return this.previous.get(shard) ?? null;
+  previousOf(shard: ShardName): readonly PreviousHolder[] {
+    return this.previous.get(shard) ?? [];
   }
 
   /** The outcome of a claim is not known: what is stored decides. */
--- a/src/membership/settle.ts
+++ b/src/membership/settle.ts
@@ -5,20 +5,25 @@
  * After a write of unknown outcome: reads the shard's key and writes it back under guard. Once that
  * is done the lost write either shows or can never be applied any more.
  */
-export async function settleShard(
-  shard: ShardName,
+export const settleShard = (shard: ShardName, state: StateClient, mirror: Mirror, goOn: () => boolean): Promise<void> =>
+  settleKey(shardKey(shard), state, mirror, goOn);
+
+/** The same for any key. What a value owes to its version must be in the rewritten value itself. */
+export async function settleKey(
+  key: string,
   state: StateClient,
   mirror: Mirror,
   goOn: () => boolean,
+  rewritten: (value: unknown) => unknown = (value) => value,
 ): Promise<void> {
-  const key = shardKey(shard);
   while (goOn()) {
     const read = await state.get(key);
     if (read.kind === 'absent') return;
     if (read.kind === 'found') {
-      const { value, version } = read.entry;
-      mirror.apply({ key, value, removed: false, version });
+      const { version } = read.entry;
+      mirror.apply({ key, value: read.entry.value, removed: false, version });
       if (!goOn()) return;
+      const value = rewritten(read.entry.value);
       const result = await state.txn(Urgency.shard, [{ key, version }], [{ put: key, value }]);
       if (result.kind === 'ok') {
         mirror.apply({ key, value, removed: false, version: result.revision });
--- a/src/membership/shard.ts
+++ b/src/membership/shard.ts
@@ -18,16 +18,75 @@
   readonly address: string;
 }
 
+/** An earlier holder that may still live and command. */
+export interface PreviousHolder {
+  readonly node: NodeName;
+  readonly incarnation: Incarnation;
+}
+
 /** The value of a shard's key: who holds it, and the block of machines leased to it. */
 export interface ShardValue {
   readonly holder: NodeName;
   readonly incarnation: Incarnation;
   /** The holder gave it up by this very write and commands nothing any more. */
   readonly released: boolean;
+  /** Holders before this one that nobody has yet known to have stopped. */
+  readonly earlier: readonly PreviousHolder[];
   readonly machines: readonly BlockMachine[];
 }
 
-export const encodeShard = (value: ShardValue): unknown => value;
+/**
+ * As it is stored. Machines are grouped by kind, each as its name and address in one text: a block
+ * of a thousand must stay below what the state service takes as one value.
+ */
+interface StoredShard {
+  readonly holder: string;
+  readonly incarnation: string;
+  readonly released: boolean;
+  readonly earlier: readonly PreviousHolder[];
+  readonly kinds: readonly {
+    readonly type: string;
+    readonly zone: string;
+    readonly spot: boolean;
+    readonly machines: readonly string[];
+  }[];
+}
+
+export function encodeShard(value: ShardValue): StoredShard {
+  const kinds = new Map<string, { type: string; zone: string; spot: boolean; machines: string[] }>();
+  for (const { id, type, zone, spot, address } of value.machines) {
+    const key = `${type} ${zone} ${spot}`;
+    let kind = kinds.get(key);
+    if (!kind) kinds.set(key, (kind = { type, zone, spot, machines: [] }));
+    kind.machines.push(`${id} ${address}`);
+  }
+  const { holder, released, earlier } = value;
+  return { holder, incarnation: value.incarnation, released, earlier, kinds: [...kinds.values()] };
+}
+
+/**
+ * Who may still command when this node claims the shard. Seen on a day with a restart of every
+ * controller: whoever claims after a claimant that never had the proof inherits the doubt, or it
+ * would count the workers' leases from the wrong holder's end.
+ */
+export function earlierHolders(value: ShardValue | null, self: NodeName): PreviousHolder[] {
+  if (value === null) return [];
+  // An earlier life of this very node has ended, or we would not be here.
+  const doubtful = value.earlier.filter((holder) => holder.node !== self);
+  if (value.released || value.holder === self) return doubtful;
+  return [...doubtful.filter((h) => h.node !== value.holder), { node: value.holder, incarnation: value.incarnation }];
+}
+
+function decodeEarlier(value: unknown): PreviousHolder[] {
+  const earlier: PreviousHolder[] = [];
+  for (const item of asList(value)) {
+    const node = isObject(item) ? asString(item['node']) : undefined;
+    const life = isObject(item) ? asString(item['incarnation']) : undefined;
+    if (node !== undefined && life !== undefined)
+      earlier.push({ node: nodeName(node), incarnation: incarnation(life) });
+  }
+  return earlier;
+}
 
 export function decodeShard(value: unknown): ShardValue | null {
   if (!isObject(value)) return null;
@@ -35,19 +94,30 @@
   const life = asString(value['incarnation']);
   if (holder === undefined || life === undefined) return null;
   const machines: BlockMachine[] = [];
-  for (const item of asList(value['machines'])) {
-    if (!isObject(item)) return null;
-    const id = asString(item['id']);
-    const type = asString(item['type']);
-    const zone = asString(item['zone']);
-    if (id === undefined || type === undefined || zone === undefined) return null;
-    machines.push({
-      id: machineId(id),
-      type,
-      zone,
-      spot: item['spot'] === true,
-      address: asString(item['address']) ?? '',
-    });
+  for (const kind of asList(value['kinds'])) {
+    if (!isObject(kind)) return null;
+    const type = asString(kind['type']);
+    const zone = asString(kind['zone']);
+    if (type === undefined || zone === undefined) return null;
+    for (const item of asList(kind['machines'])) {
+      const [id, address] = asString(item)?.split(' ') ?? [];
+      if (id === undefined || id === '') return null;
+      machines.push({ id: machineId(id), type, zone, spot: kind['spot'] === true, address: address ?? '' });
+    }
   }
-  return { holder: nodeName(holder), incarnation: incarnation(life), released: value['released'] === true, machines };
+  return {
+    holder: nodeName(holder),
+    incarnation: incarnation(life),
+    released: value['released'] === true,
+    earlier: decodeEarlier(value['earlier']),
+    machines,
+  };
 }
+
+/** How many bytes of a value one machine takes at most, quotes and comma included. */
+const BYTES_FOR_MACHINE = 48;
+const BYTES_FOR_REST = 2048;
+
+/** How many machines a block may have so that its record stays a value that the state service takes. */
+export const blockLimit = (valueKb: number): number =>
+  Math.max(1, Math.floor((valueKb * 1024 - BYTES_FOR_REST) / BYTES_FOR_MACHINE));
--- a/src/peers/link.ts
+++ b/src/peers/link.ts
@@ -80,7 +80,23 @@
   }
 
   broadcast(message: PeerMessage): void {
-    for (const peer of this.peers) this.write(peer, message);
+    let frame: Buffer | undefined;
+    for (const peer of this.peers) {
+      if (this.canWrite(peer)) this.write(peer, message, (frame ??= this.encode(message)));
+    }
+  }
+
+  private encode(message: PeerMessage): Buffer | undefined {
+    try {
+      return encodeMessage(message);
+    } catch (error) {
+      this.log.warn({ err: error, kind: message.kind }, 'a frame could not be written');
+      return undefined;
+    }
+  }
+
+  private canWrite(peer: Outgoing): boolean {
+    return peer.socket !== undefined && peer.ready && peer.socket.writableLength <= MAX_BUFFERED;
   }
 
   /** Asks a peer to serve a user's request; null when no answer came in time. */
@@ -105,16 +121,10 @@
     this.broadcast(this.hello());
   }
 
-  private write(peer: Outgoing, message: PeerMessage): boolean {
-    const socket = peer.socket;
-    if (!socket || !peer.ready || socket.writableLength > MAX_BUFFERED) return false;
-    try {
-      socket.write(encodeMessage(message));
-      return true;
-    } catch (error) {
-      this.log.warn({ err: error, to: peer.node }, 'a frame could not be written');
-      return false;
-    }
+  private write(peer: Outgoing, message: PeerMessage, frame = this.encode(message)): boolean {
+    if (!frame || !this.canWrite(peer)) return false;
+    peer.socket?.write(frame);
+    return true;
   }
 
   private tick(): void {
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -17,7 +17,7 @@
   readonly freeMemoryGb: number;
   /** New tasks may be put here. */
   readonly usable: boolean;
-  readonly images: ReadonlySet<string>;
+  readonly images: readonly string[];
   readonly fetchGbPerS: number;
   /** Images being fetched now. */
   readonly fetching: number;
@@ -114,7 +114,8 @@
   memoryGb: number;
   /** Room that is on its way because tasks there are being stopped. */
   coming: { cpus: number; gpus: number; memoryGb: number };
-  fetching: Set<string>;
+  /** Images that what is planned here will fetch. */
+  fetching: string[];
 }
 
 /** Closer than this to its last aim, a job goes by its time, whatever its size. */
@@ -182,7 +183,7 @@
   room.cpus -= spec.cpus;
   room.gpus -= spec.gpus;
   room.memoryGb -= spec.memoryGb;
-  if (!room.view.images.has(spec.image)) room.fetching.add(spec.image);
+  if (!room.view.images.includes(spec.image) && !room.fetching.includes(spec.image)) room.fetching.push(spec.image);
 }
 
 /** Lower is better. */
@@ -190,8 +191,8 @@
   const m = room.view;
   let s = 0;
   s += m.suspicion * 60;
-  if (!m.images.has(spec.image) && !room.fetching.has(spec.image)) {
-    s += (spec.imageGb / m.fetchGbPerS) * (1 + m.fetching + room.fetching.size);
+  if (!m.images.includes(spec.image) && !room.fetching.includes(spec.image)) {
+    s += (spec.imageGb / m.fetchGbPerS) * (1 + m.fetching + room.fetching.length);
   }
   const leftover = (room.cpus - spec.cpus) / Math.max(1, m.cpus);
   if (spec.kind === 'service') {
@@ -206,6 +207,45 @@
   return s;
 }
 
+/** Jobs of one kind find the same rooms, but for those that one of them avoids. */
+const kindOf = (spec: JobSpec): string =>
+  `${spec.types?.join(',') ?? ''}|${spec.zone ?? ''}|${spec.spot ? 1 : 0}|${spec.cpus}|${spec.gpus}|${spec.memoryGb}|` +
+  `${spec.kind}|${spec.priority}|${mayBorrow(spec) ? 1 : 0}`;
+
+/** The best of many rooms again and again, while only the room that was taken last has changed. */
+class Choice {
+  private readonly scores: Float64Array;
+
+  constructor(
+    private readonly rooms: readonly Room[],
+    private readonly scoreOf: (room: Room) => number,
+  ) {
+    this.scores = Float64Array.from(rooms, scoreOf);
+  }
+
+  best(): Room | undefined {
+    let at = -1;
+    let lowest = Infinity;
+    for (let i = 0; i < this.scores.length; i++) {
+      const s = this.scores[i] ?? Infinity;
+      if (s < lowest) {
+        lowest = s;
+        at = i;
+      }
+    }
+    return this.rooms[at];
+  }
+
+  /** Rooms that the one just taken can have changed are looked at again. */
+  taken(room: Room, alsoWhere: (room: Room) => boolean): void {
+    for (const [i, other] of this.rooms.entries()) {
+      if (other === room || alsoWhere(other)) this.scores[i] = this.scoreOf(other);
+    }
+  }
+}
+
+const NOWHERE_ELSE = (): boolean => false;
+
 export function planPlacement(input: PlanInput): Plan {
   const rooms: Room[] = input.machines
     .filter((m) => m.usable)
@@ -223,7 +263,7 @@
         gpus: view.freeGpus,
         memoryGb: view.freeMemoryGb,
         coming,
-        fetching: new Set<string>(),
+        fetching: [],
       };
     });
   const teams = new Map([...input.teams].map(([name, use]) => [name, { ...use }]));
@@ -245,8 +285,21 @@
     team.gpus += spec.gpus;
   };
 
+  // Room only shrinks while a plan is made: where one job of a kind found none, no other will.
+  const exhausted = new Set<string>();
+  /** Kinds for which nothing could be stopped either, and the smallest such gang. */
+  const hopeless = new Set<string>();
+  const hopelessGang = new Map<string, number>();
   for (const job of [...input.pending].sort(pendingOrder)) {
     const { spec } = job;
+    const kind = kindOf(spec);
+    const nowhere =
+      spec.kind === 'gang' ? job.ready.length >= (hopelessGang.get(kind) ?? Infinity) : hopeless.has(kind);
+    if (nowhere) {
+      if (withinLimit(spec, spec.kind === 'gang' ? job.ready.length : 1))
+        unplaced.push({ job: spec.id, count: job.ready.length });
+      continue;
+    }
     const candidates = rooms.filter((room) => allowedKind(spec, room.view) && !job.avoid.has(room.view.id));
     if (spec.kind === 'gang') {
       if (!withinLimit(spec, job.ready.length)) continue;
@@ -259,6 +312,8 @@
         }
       } else if (!preemptForGang(job, candidates, stopped, stops)) {
         unplaced.push({ job: spec.id, count: job.ready.length });
+        if (!placed && job.avoid.size === 0 && !spec.spread)
+          hopelessGang.set(kind, Math.min(job.ready.length, hopelessGang.get(kind) ?? Infinity));
       }
       continue;
     }
@@ -267,34 +322,35 @@
     const zoneUse = new Map(job.zoneUse);
     const machineUse = new Map(job.machineUse);
     let missing = 0;
-    for (const index of job.ready) {
+    const free = exhausted.has(kind) ? [] : candidates;
+    const choice = new Choice(free, (room) => {
+      if (!fits(spec, room) || !allowedZone(spec, room.view.zone, zoneUse)) return Infinity;
+      if (plainService && room.view.gpus > 0) return Infinity;
+      const leaves = leavesReserve(spec, room, input.reserve);
+      if (!leaves && !mayBorrow(spec)) return Infinity;
+      return score(spec, room, machineUse.get(room.view.id) ?? 0) + (leaves ? 0 : 40);
+    });
+    for (const [position, index] of job.ready.entries()) {
       if (starts.length >= input.maxStarts) break;
       if (!withinLimit(spec, 1)) break;
-      let best: Room | undefined;
-      let bestScore = Infinity;
-      for (const room of candidates) {
-        if (!fits(spec, room) || !allowedZone(spec, room.view.zone, zoneUse)) continue;
-        if (plainService && room.view.gpus > 0) continue;
-        const leaves = leavesReserve(spec, room, input.reserve);
-        if (!leaves && !mayBorrow(spec)) continue;
-        const s = score(spec, room, machineUse.get(room.view.id) ?? 0) + (leaves ? 0 : 40);
-        if (s < bestScore) {
-          best = room;
-          bestScore = s;
-        }
-      }
+      const best = choice.best();
       if (!best) {
-        missing = job.ready.length - job.ready.indexOf(index);
+        missing = job.ready.length - position;
+        if (job.avoid.size === 0 && !spec.spread && !spec.oneZone) exhausted.add(kind);
         break;
       }
+      const { zone, id } = best.view;
       book(spec, best);
       charge(spec);
-      zoneUse.set(best.view.zone, (zoneUse.get(best.view.zone) ?? 0) + 1);
-      machineUse.set(best.view.id, (machineUse.get(best.view.id) ?? 0) + 1);
-      starts.push({ job: spec.id, index, machine: best.view.id });
+      zoneUse.set(zone, (zoneUse.get(zone) ?? 0) + 1);
+      machineUse.set(id, (machineUse.get(id) ?? 0) + 1);
+      // With a limit for each zone, or one zone for all, other rooms may be allowed no more.
+      choice.taken(best, spec.spread || spec.oneZone ? (): boolean => true : NOWHERE_ELSE);
+      starts.push({ job: spec.id, index, machine: id });
     }
     if (missing > 0) {
       const waiting = preempt(job, missing, candidates, zoneUse, stopped, stops);
+      if (waiting === 0 && exhausted.has(kind)) hopeless.add(kind);
       if (missing - waiting > 0) unplaced.push({ job: spec.id, count: missing - waiting });
     }
   }
@@ -307,29 +363,24 @@
   const zones = spec.oneZone ? [...new Set(candidates.map((c) => c.view.zone))].sort() : [null];
   for (const zone of zones) {
     const here = candidates.filter((c) => zone === null || c.view.zone === zone);
-    const left = new Map(here.map((room) => [room, { cpus: room.cpus, gpus: room.gpus, memoryGb: room.memoryGb }]));
+    if (here.length === 0) continue;
+    // Booked on copies: the rooms themselves change only when all have found a place.
+    const originals = new Map(here.map((room) => [{ ...room }, room]));
     const zoneUse = new Map(job.zoneUse);
     const placed: { index: number; room: Room }[] = [];
+    const choice = new Choice([...originals.keys()], (room) =>
+      fits(spec, room) && allowedZone(spec, room.view.zone, zoneUse) ? score(spec, room, 0) : Infinity,
+    );
     for (const index of job.ready) {
-      let best: Room | undefined;
-      let bestScore = Infinity;
-      for (const room of here) {
-        const free = left.get(room);
-        if (!free || !allowedZone(spec, room.view.zone, zoneUse)) continue;
-        if (!fits(spec, { ...room, ...free })) continue;
-        const s = score(spec, room, 0);
-        if (s < bestScore) {
-          best = room;
-          bestScore = s;
-        }
-      }
-      const free = best && left.get(best);
-      if (!best || !free) break;
-      free.cpus -= spec.cpus;
-      free.gpus -= spec.gpus;
-      free.memoryGb -= spec.memoryGb;
+      const best = choice.best();
+      const room = best && originals.get(best);
+      if (!best || !room) break;
+      best.cpus -= spec.cpus;
+      best.gpus -= spec.gpus;
+      best.memoryGb -= spec.memoryGb;
       zoneUse.set(best.view.zone, (zoneUse.get(best.view.zone) ?? 0) + 1);
-      placed.push({ index, room: best });
+      choice.taken(best, spec.spread ? (): boolean => true : NOWHERE_ELSE);
+      placed.push({ index, room });
     }
     if (placed.length === job.ready.length) return placed;
   }
--- a/src/service/http.ts
+++ b/src/service/http.ts
@@ -1,4 +1,4 @@
-import { createServer, type Server } from 'node:http';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import express, {
   type ErrorRequestHandler,
   type Express,
@@ -39,16 +39,6 @@
   });
   app.use(express.json({ limit: BODY_LIMIT, strict: false, type: () => true }));
 
-  app.post('/v1/report', (req, res) => {
-    const message = decodeMessage(req.body);
-    if (!message) {
-      log.warn('a report of no valid form was refused');
-      res.status(400).json({ error: 'not a report' });
-      return;
-    }
-    const reply = handlers.report(message);
-    res.status(reply.status).json(reply.body);
-  });
   app.post('/v1/jobs', (req, res, next) => {
     const parsed = parseSubmission(req.body);
     if (!parsed.ok) res.status(400).json({ error: parsed.reason });
@@ -78,8 +68,66 @@
   return app;
 }
 
-export function listen(app: Express, port: number, host: string, maxConnections: number, log: Logger): Server {
-  const server = createServer(app);
+const REPORT_PATH = '/v1/report';
+
+/**
+ * Reports are most of what a controller is asked, hundreds a second on a fraction of a core: they
+ * pass by the router and its body parser, which cost more than a report itself.
+ */
+function serveReport(handlers: Handlers, log: Logger, req: IncomingMessage, res: ServerResponse): void {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  const answer = (status: number, body: unknown): void => {
+    const text = JSON.stringify(body);
+    res.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) });
+    res.end(text);
+  };
+  req.on('data', (chunk: Buffer) => {
+    size += chunk.length;
+    if (size <= BODY_LIMIT) chunks.push(chunk);
+  });
+  req.on('error', () => undefined);
+  req.on('end', () => {
+    try {
+      const message = size <= BODY_LIMIT ? decodeMessage(parsed(chunks)) : null;
+      if (!message) {
+        log.warn({ size }, 'a report of no valid form was refused');
+        answer(400, { error: 'not a report' });
+        return;
+      }
+      const reply = handlers.report(message);
+      answer(reply.status, reply.body);
+    } catch (error) {
+      log.error({ err: error }, 'a report failed');
+      if (!res.headersSent) answer(503, { error: 'cannot serve this now' });
+    }
+  });
+}
+
+function parsed(chunks: readonly Buffer[]): unknown {
+  try {
+    return JSON.parse((chunks.length === 1 && chunks[0] ? chunks[0] : Buffer.concat(chunks)).toString('utf8'));
+  } catch {
+    return null;
+  }
+}
+
+/** What the listener serves: reports at once, everything else through the router. */
+export const createHandler =
+  (app: Express, handlers: Handlers, log: Logger): ((req: IncomingMessage, res: ServerResponse) => void) =>
+  (req, res) => {
+    if (req.method === 'POST' && req.url === REPORT_PATH) serveReport(handlers, log, req, res);
+    else app(req, res);
+  };
+
+export function listen(
+  handler: (req: IncomingMessage, res: ServerResponse) => void,
+  port: number,
+  host: string,
+  maxConnections: number,
+  log: Logger,
+): Server {
+  const server = createServer(handler);
   server.keepAliveTimeout = 120_000;
   server.headersTimeout = 125_000;
   server.requestTimeout = 30_000;
--- a/src/service/service.ts
+++ b/src/service/service.ts
@@ -16,11 +16,11 @@
   type ShardName,
 } from '../kernel/index.js';
 import { bookRoom, chooseShard, Leader, roomFor } from '../leasing/index.js';
-import { decodeShard, Membership } from '../membership/index.js';
+import { decodeShard, Membership, ShardDirectory } from '../membership/index.js';
 import { PeerLink, type PeerMessage, type Received, type ShardSummary } from '../peers/index.js';
 import { JOBS, LIVE, Mirror, shardKey, SHARDS, StateClient, TYPES, Urgency, type Change } from '../state/index.js';
 import { encodeRedirect, type WorkerMessage } from '../workers/index.js';
-import { createApp, listen } from './http.js';
+import { createApp, createHandler, listen, type Handlers } from './http.js';
 import { UserDesk } from './users.js';
 
 const SUMMARY_EVERY_MS = 500;
@@ -28,6 +28,7 @@
 const HAND_BACK_AFTER_MS = 3000;
 const UNFIT_MS = 20_000;
 const TYPES_EVERY_MS = 30_000;
+const REST_FACTOR = 10;
 
 /** One controller: all slices put together. */
 export class Service {
@@ -42,6 +43,7 @@
   private readonly settingsStore: SettingsStore;
   private readonly desk: UserDesk;
   private readonly leader: Leader;
+  private readonly directory: ShardDirectory;
   private readonly holders = new Map<ShardName, ShardHolder>();
   private readonly summaries = new Map<ShardName, { summary: ShardSummary; at: number }>();
   private readonly ousted = new Map<ShardName, number>();
@@ -62,8 +64,9 @@
     const { clock } = this;
     this.ownShard = shardName(settings.node);
     this.state = new StateClient(settings.state, settings.stateLimits, log, clock);
-    this.state.writers = 2;
+    this.state.writers = settings.seeds.length + 1;
     this.mirror = new Mirror(this.state, LIVE, log);
+    this.directory = new ShardDirectory(this.mirror);
     this.cloud = new CloudClient(settings.cloud, settings.cloudLimits.rps, log, clock);
     this.peers = new PeerLink(
       settings.node,
@@ -116,16 +119,26 @@
       clock,
       log,
       listLagMs: settings.cloudLimits.listLagMs,
+      valueKb: settings.stateLimits.valueKb,
+      shards: this.directory,
       leading: () => this.membership.leading,
       summaries: () => this.currentSummaries(),
       types: () => this.types,
       tell: (node, message) => this.tell(node, message),
       nudge: () => this.leaderRounds.nudge(),
     });
-    this.leaderRounds = new ReconcileLoop('leader', 400, log, () => this.leader.round(), 50);
-    this.rounds = new ReconcileLoop('holders', 250, log, () => {
-      for (const holder of this.holders.values()) holder.round();
-    });
+    this.leaderRounds = new ReconcileLoop('leader', 800, log, () => this.leader.round(), 400);
+    this.rounds = new ReconcileLoop(
+      'holders',
+      250,
+      log,
+      () => {
+        for (const holder of this.holders.values()) holder.round();
+      },
+      40,
+      // A report that waits for a plan is worse than a plan that waits for a report.
+      REST_FACTOR,
+    );
   }
 
   start(): void {
@@ -134,17 +147,14 @@
     this.peers.received.subscribe((received) => this.onPeer(received));
     this.peers.start();
     const admin = adminRouter(this.settingsStore, () => this.status());
-    const app = createApp(
-      {
-        healthy: () => this.healthy(),
-        serve: (request) => this.desk.serve(request),
-        report: (message) => this.onReport(message),
-      },
-      admin,
-      log,
-    );
+    const handlers: Handlers = {
+      healthy: () => this.healthy(),
+      serve: (request) => this.desk.serve(request),
+      report: (message) => this.onReport(message),
+    };
+    const app = createApp(handlers, admin, log);
     const sockets = Math.max(50, Math.floor(settings.maxConnections * 0.7));
-    this.server = listen(app, settings.serveOn.port, settings.serveOn.host, sockets, log);
+    this.server = listen(createHandler(app, handlers, log), settings.serveOn.port, settings.serveOn.host, sockets, log);
     void this.mirror.run();
     const session = new ReconcileLoop('session', this.membership.renewEveryMs, log, () => this.membership.keep());
     const claims = new ReconcileLoop('claims', 200, log, () => this.claims());
@@ -229,6 +239,7 @@
       types: () => this.types,
       operator: () => this.settingsStore.current,
       heldUntil: () => this.membership.heldUntilAtLeast,
+      certain: () => this.membership.certain,
       nudge: () => this.rounds.nudge(),
       roomElsewhere: (spec, count) => this.roomElsewhere(spec, count),
     };
@@ -243,23 +254,26 @@
     return this.clock.now() >= this.unfitUntil;
   }
 
-  private async verifyShards(): Promise<void> {
-    for (const shard of this.holders.keys()) {
+  /** Reads afresh whether the shards are still ours; false when that could not be read. */
+  private async verifyShards(): Promise<boolean> {
+    let all = true;
+    for (const shard of [...this.holders.keys()]) {
       const read = await this.state.get(shardKey(shard));
+      if (read.kind === 'unavailable') all = false;
       if (read.kind !== 'found') continue;
       const { key, value, version } = read.entry;
       this.mirror.apply({ key, value, removed: false, version });
     }
+    return all;
   }
 
   private async reviewShards(): Promise<void> {
     const now = this.clock.now();
     for (const [shard, holder] of this.holders) {
-      if (holder.awaitsProof && holder.previous) {
-        const { node, incarnation: life } = holder.previous;
+      for (const { node, incarnation: life } of holder.doubtful) {
         const heard = this.peers.statusOf(node)?.incarnation ?? this.membership.alive(node);
         // A later life of that node proves that the earlier one has ended.
-        if (heard !== null && heard !== life) holder.proven();
+        if (heard !== null && heard !== life) holder.proven(node);
         else this.peers.send(node, { kind: 'standdown', shard, version: holder.claimedAt });
       }
       const fitPeer = this.peers.names.some((peer) => this.isFit(peer));
@@ -291,11 +305,9 @@
     for (const holder of this.holders.values()) {
       if (holder.machines.has(message.machine)) return holder.onReport(message);
     }
-    for (const entry of this.mirror.under(SHARDS)) {
-      const value = decodeShard(entry.value);
-      if (!value?.machines.some((m) => m.id === message.machine)) continue;
-      return { status: 421, body: encodeRedirect(value.holder === this.settings.node ? null : value.holder) };
-    }
+    const shard = this.directory.shardOf(message.machine);
+    const owner = shard === null ? undefined : this.directory.all.get(shard)?.value.holder;
+    if (owner !== undefined) return { status: 421, body: encodeRedirect(owner === this.settings.node ? null : owner) };
     if (this.membership.leading !== null) {
       this.leader.noteUp(message);
       return { status: 421, body: encodeRedirect(null) };
@@ -332,7 +344,7 @@
       }
       case 'stooddown': {
         const holder = this.holders.get(message.shard);
-        if (holder?.claimedAt === message.version && holder.previous?.node === from) holder.proven();
+        if (holder?.claimedAt === message.version) holder.proven(from);
         break;
       }
       case 'hello':
@@ -347,6 +359,7 @@
   }
 
   private publish(): void {
+    this.state.writers = Math.max(1, this.membership.aliveCount);
     for (const [shard, holder] of this.holders) {
       const summary = holder.summary();
       this.summaries.set(shard, { summary, at: this.clock.now() });
--- a/src/state/client.ts
+++ b/src/state/client.ts
@@ -57,6 +57,18 @@
 
 const REQUEST_TIMEOUT_MS = 1500;
 const MAX_QUEUE = 400;
+/** No key begins like this: an empty list costs least and tells the revision. */
+const NOTHING = 'none/';
+
+/**
+ * How much of this process's part must be left for a write. Progress waits for its turn; what users
+ * wait for may draw on the others' unused parts, and no write is too large to be sent at all.
+ */
+function allowanceFor(write: Queued, burst: number): number {
+  if (write.urgency === Urgency.progress) return Math.min(write.ops.length, burst);
+  if (write.urgency === Urgency.shard) return 0;
+  return write.urgency === Urgency.session ? -3 * burst : -burst;
+}
 
 /**
  * The state service's client. Writes pass through one queue, ordered by urgency and held to this
@@ -133,6 +145,13 @@
     return { kind: 'unavailable' };
   }
 
+  /** The service's present revision. */
+  async revision(): Promise<Revision | null> {
+    const answer = await this.send('GET', paths.list(NOTHING, ''));
+    if (answer.kind !== 'answered' || answer.status !== 200) return null;
+    return decodeList(answer.body)?.revision ?? null;
+  }
+
   async list(prefix: string): Promise<{ entries: Entry[]; revision: Revision } | null> {
     const entries: Entry[] = [];
     let after = '';
@@ -211,13 +230,13 @@
           queued.resolve({ kind: 'refused' });
         }
       }
-      const rate = (this.limits.writeRps * 0.9) / Math.max(1, this.writers);
-      const burst = Math.max(4, this.limits.writeRps / 2);
-      this.allowance = Math.min(burst, this.allowance + ((now - this.allowanceAt) / 1000) * rate);
+      const share = this.limits.writeRps / Math.max(1, this.writers);
+      const burst = Math.max(4, share);
+      this.allowance = Math.min(burst, this.allowance + ((now - this.allowanceAt) / 1000) * share * 0.9);
       this.allowanceAt = now;
       const next = this.queue[0];
       if (!next) break;
-      if (this.inFlight >= 6 || (this.allowance < next.ops.length && this.allowance < burst)) {
+      if (this.inFlight >= 6 || this.allowance < allowanceFor(next, burst)) {
         await sleep(this.inFlight >= 6 ? 10 : 25);
         continue;
       }
--- a/src/state/index.ts
+++ b/src/state/index.ts
@@ -2,3 +2,4 @@
 export * from './keys.js';
 export * from './mirror.js';
 export type { Change, Entry, Guard, Op } from './wire.js';
+export * from './freshness.js';
--- a/src/state/mirror.ts
+++ b/src/state/mirror.ts
@@ -1,19 +1,30 @@
 import { Subject } from 'rxjs';
-import { sleep, type Logger, type Revision } from '../kernel/index.js';
+import { revision, sleep, type Logger, type Revision } from '../kernel/index.js';
 import type { StateClient } from './client.js';
 import type { Change, Entry } from './wire.js';
 
+/** Every opened watch counts as a request: changes that follow each other closely share one. */
+const REOPEN_MS = 60;
+/** After so many changes of a page everything else gets a turn. */
+const CHANGES_AT_ONCE = 200;
+const NONE: ReadonlyMap<string, Entry> = new Map();
+
+/** Keys are kept by directory, so that whoever wants the shards doesn't walk through the jobs. */
+const directoryOf = (key: string): string => key.slice(0, key.lastIndexOf('/') + 1);
+
 /**
  * What is alive, as this node has seen it so far: one list, then one watch. It may lag; whoever
  * needs the present reads the key itself.
  */
 export class Mirror {
   readonly changes = new Subject<Change>();
-  private entries = new Map<string, Entry>();
+  private readonly directories = new Map<string, Map<string, Entry>>();
   /** Removals that the watch has not reached yet: without them an older put would bring a key back. */
   private readonly graves = new Map<string, Revision>();
+  private readonly touched = new Map<string, number>();
   private at: Revision | undefined;
   private stopped = false;
+  private waiters: { readonly upTo: Revision; readonly resolve: (fresh: boolean) => void }[] = [];
 
   constructor(
     private readonly client: StateClient,
@@ -25,43 +36,97 @@
     return this.at !== undefined;
   }
 
+  /** Up to here the watch has shown every change, in order. */
+  get seenUpTo(): Revision {
+    return this.at ?? revision(0);
+  }
+
   get(key: string): Entry | undefined {
-    return this.entries.get(key);
+    return this.directories.get(directoryOf(key))?.get(key);
+  }
+
+  /** All entries of one directory, which ends with a slash. */
+  under(directory: string): Iterable<Entry> {
+    return (this.directories.get(directory) ?? NONE).values();
+  }
+
+  /** Grows with every change in a directory. */
+  generationOf(directory: string): number {
+    return this.touched.get(directory) ?? 0;
+  }
+
+  /** Waits until the watch has shown everything up to a revision; false when that takes too long. */
+  reach(upTo: Revision, withinMs: number): Promise<boolean> {
+    if (this.at !== undefined && this.at >= upTo) return Promise.resolve(true);
+    return new Promise((resolve) => {
+      const waiter = {
+        upTo,
+        resolve: (fresh: boolean): void => {
+          clearTimeout(timer);
+          resolve(fresh);
+        },
+      };
+      const timer = setTimeout(() => {
+        this.waiters = this.waiters.filter((w) => w !== waiter);
+        resolve(false);
+      }, withinMs);
+      this.waiters.push(waiter);
+    });
   }
 
-  *under(prefix: string): Iterable<Entry> {
-    for (const [key, entry] of this.entries) if (key.startsWith(prefix)) yield entry;
+  private arrive(): void {
+    const { at } = this;
+    if (at === undefined || this.waiters.length === 0) return;
+    const there = this.waiters.filter((w) => w.upTo <= at);
+    if (there.length === 0) return;
+    this.waiters = this.waiters.filter((w) => w.upTo > at);
+    for (const waiter of there) waiter.resolve(true);
   }
 
   async load(): Promise<boolean> {
     const listed = await this.client.list(this.prefix);
     if (!listed) return false;
-    const fresh = new Map(listed.entries.map((entry) => [entry.key, entry]));
-    const old = this.entries;
-    this.entries = new Map(old);
-    this.at = listed.revision;
-    for (const key of old.keys()) {
-      if (!fresh.has(key)) this.apply({ key, value: undefined, removed: true, version: listed.revision });
-    }
-    for (const entry of listed.entries) {
-      this.apply({ key: entry.key, value: entry.value, removed: false, version: entry.version });
+    const fresh = new Set(listed.entries.map((entry) => entry.key));
+    for (const directory of [...this.directories.values()]) {
+      for (const key of [...directory.keys()]) {
+        if (!fresh.has(key)) this.apply({ key, value: undefined, removed: true, version: listed.revision });
+      }
     }
+    await this.takeIn(listed.entries.map((e) => ({ key: e.key, value: e.value, removed: false, version: e.version })));
+    // Only now: whoever finds it loaded must find all of it.
+    this.at = listed.revision;
+    this.arrive();
     return true;
   }
 
+  private async takeIn(changes: readonly Change[]): Promise<void> {
+    for (const [i, change] of changes.entries()) {
+      if (i > 0 && i % CHANGES_AT_ONCE === 0) await sleep(0);
+      try {
+        this.apply(change);
+      } catch (error) {
+        this.log.error({ err: error, key: change.key }, 'a change could not be taken in');
+      }
+    }
+  }
+
   /** Takes in a change that this node made or read itself, ahead of the watch. */
   apply(change: Change): void {
-    const known = this.entries.get(change.key);
+    const known = this.get(change.key);
     if (known && known.version >= change.version && !(change.removed && known.version === change.version)) return;
+    const name = directoryOf(change.key);
     const buried = this.graves.get(change.key);
     if (buried !== undefined && buried >= change.version) return;
     if (change.removed) {
       this.graves.set(change.key, change.version);
       if (!known) return;
-      this.entries.delete(change.key);
+      this.directories.get(name)?.delete(change.key);
     } else {
-      this.entries.set(change.key, { key: change.key, value: change.value, version: change.version });
+      let directory = this.directories.get(name);
+      if (!directory) this.directories.set(name, (directory = new Map()));
+      directory.set(change.key, { key: change.key, value: change.value, version: change.version });
     }
+    this.touched.set(name, this.generationOf(name) + 1);
     this.changes.next(change);
   }
 
@@ -81,15 +146,11 @@
         await sleep(300);
         continue;
       }
-      for (const change of page.changes) {
-        try {
-          this.apply(change);
-        } catch (error) {
-          this.log.error({ err: error, key: change.key }, 'a change could not be taken in');
-        }
-      }
+      await this.takeIn(page.changes);
       if (page.revision > this.at) this.at = page.revision;
+      this.arrive();
       for (const [key, at] of this.graves) if (at <= this.at) this.graves.delete(key);
+      if (page.changes.length > 0) await sleep(REOPEN_MS);
     }
   }
 
--- a/src/workers/belief.ts
+++ b/src/workers/belief.ts
@@ -5,6 +5,7 @@
   token,
   withDrift,
   type Attempt,
+  type MachineId,
   type Millis,
   type Revision,
   type Sequence,
@@ -12,6 +13,7 @@
   type TaskKey,
   type Token,
 } from '../kernel/index.js';
+import type { Mentions } from './whereabouts.js';
 import type { ListedTask, WorkerMessage } from './wire.js';
 
 /** Local bumps between two revisions of the shard key. */
@@ -43,15 +45,38 @@
   /** The latest moment at which this holder, or an earlier one, can have renewed the worker's lease. */
   lastAnswerAt: Millis;
   lastHeardAt: Millis;
+  private changes = 0;
 
   constructor(
     private base: Revision,
     now: Millis,
+    /** Kept up to date with every task that this belief names. */
+    private readonly index: { readonly mentions: Mentions; readonly machine: MachineId } | null = null,
   ) {
     this.lastAnswerAt = now;
     this.lastHeardAt = millis(now);
   }
 
+  /** Grows with whatever changes what may be here. */
+  get generation(): number {
+    return this.changes;
+  }
+
+  private reindex(before: Iterable<TaskKey>): void {
+    this.changes += 1;
+    if (!this.index) return;
+    const { mentions, machine } = this.index;
+    for (const key of before) if (!this.names(key)) mentions.leave(key, machine);
+  }
+
+  private mention(key: TaskKey): void {
+    this.index?.mentions.enter(key, this.index.machine);
+  }
+
+  private names(key: TaskKey): boolean {
+    return this.starts.has(key) || this.listing.has(key);
+  }
+
   get token(): Token {
     return tokenOf(this.base, this.bump);
   }
@@ -92,11 +117,14 @@
 
   noteStart(key: TaskKey, attempt: Attempt): void {
     this.starts.set(key, { attempt, token: this.token, session: this.at.session });
+    this.changes += 1;
+    this.mention(key);
   }
 
   /** The command with these starts was answered: what the worker lists now is all there is of them. */
   settleStarts(keys: readonly TaskKey[]): void {
     for (const key of keys) this.starts.delete(key);
+    this.reindex(keys);
   }
 
   /** A command's fate is unknown. It may be executed minutes later unless a higher token comes first. */
@@ -112,7 +140,10 @@
     this.at = { session: message.session, sequence: message.sequence };
     this.acked = message.token;
     this.lastHeardAt = now;
+    if (this.starts.size === 0 && this.lists(message.tasks)) return 'taken';
+    const before = [...this.listing.keys(), ...this.starts.keys()];
     this.listing = new Map(message.tasks.map((task) => [task.key, task]));
+    for (const task of message.tasks) this.mention(task.key);
     for (const [key, start] of this.starts) {
       const listed = this.listing.get(key);
       const settled =
@@ -121,9 +152,19 @@
         message.session > start.session;
       if (settled) this.starts.delete(key);
     }
+    this.reindex(before);
     return 'taken';
   }
 
+  /** Most reports say nothing new, and nothing follows from them. */
+  private lists(tasks: readonly ListedTask[]): boolean {
+    if (tasks.length !== this.listing.size) return false;
+    return tasks.every((task) => {
+      const known = this.listing.get(task.key);
+      return known?.attempt === task.attempt && known.state === task.state && known.why === task.why;
+    });
+  }
+
   answered(now: Millis): void {
     if (now > this.lastAnswerAt) this.lastAnswerAt = now;
   }
@@ -135,12 +176,10 @@
 
   /** The worker's lease is over: everything there is gone, and commands for its session are void. */
   expire(): void {
+    const before = [...this.listing.keys(), ...this.starts.keys()];
     this.listing.clear();
     this.starts.clear();
     this.expired = this.at.session;
-  }
-
-  forget(key: TaskKey): void {
-    if (this.listing.get(key)?.state === 'exited') this.listing.delete(key);
+    this.reindex(before);
   }
 }
--- a/src/workers/index.ts
+++ b/src/workers/index.ts
@@ -1,5 +1,6 @@
 export * from './belief.js';
 export * from './courier.js';
+export * from './whereabouts.js';
 export {
   decodeMessage,
   encodeRedirect,
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -25,7 +25,7 @@
     freeGpus: 0,
     freeMemoryGb: 8,
     usable: true,
-    images: new Set(),
+    images: [],
     fetchGbPerS: 1,
     fetching: 0,
     cpuPrice: 0.1,
@@ -230,7 +230,7 @@
   };
   const full = machine('m0', { freeCpus: 0, running: [low] });
   assert.deepEqual(planPlacement(input([full], [pending(spec({ id: 'j-a' }))])).stops, []);
-  const busyGpu = machine('m0', { gpus: 2, freeGpus: 0, images: new Set(['i']) });
+  const busyGpu = machine('m0', { gpus: 2, freeGpus: 0, images: ['i'] });
   const service = pending(spec({ id: 'j-s', kind: 'service', priority: Priority.production }));
   const chosen = planPlacement(input([busyGpu, machine('m1')], [service])).starts.map((s) => s.machine);
   assert.deepEqual(chosen, ['m1']);
