--- a/src/service/index.ts
+++ b/src/service/index.ts
@@ -1,1 +1,2 @@
 export * from './service.js';
+export { createHandler, listen } from './http.js';
