--- a/src/holder/booking.ts
+++ b/src/holder/booking.ts
@@ -1,8 +1,8 @@
 import type { MachineType } from '../cloud/index.js';
 import { Priority, type JobSpec } from '../jobs/index.js';
-import { parseTaskKey, type JobId, type Millis, type TaskKey } from '../kernel/index.js';
+import { parseTaskKey, type JobId, type Millis } from '../kernel/index.js';
 import type { Stoppable } from '../placement/index.js';
-import type { MachineBelief } from '../workers/index.js';
+import type { ListedTask, MachineBelief } from '../workers/index.js';
 import type { ActiveTask, JobRun } from './run.js';
 
 /** What the tasks that are possibly on a machine take of it, kept until something there changes. */
@@ -49,10 +49,9 @@
   let inUse = type.gpus > 0 ? belief.pendingStarts.size > 0 : !belief.empty;
   const fetching = new Set<string>();
   const running: Stoppable[] = [];
-  const take = (key: TaskKey, listed: boolean, fetches: boolean): void => {
-    const parsed = parseTaskKey(key);
-    const run = parsed ? runOf(parsed.job) : undefined;
-    if (!parsed || !run) {
+  const take = (task: Pick<ListedTask, 'job' | 'index'> | null, listed: boolean, fetches: boolean): void => {
+    const run = task ? runOf(task.job) : undefined;
+    if (!task || !run) {
       known = false;
       inUse = true;
       return;
@@ -65,10 +64,10 @@
     if (usesAccelerators(spec)) inUse = true;
     if (fetches) fetching.add(spec.image);
     if (spec.kind !== 'array' && !run.ended) return;
-    const active = run.active.get(parsed.index);
+    const active = run.active.get(task.index);
     const stoppable = {
       job: run.id,
-      index: parsed.index,
+      index: task.index,
       priority: spec.priority,
       cpus: spec.cpus,
       gpus: spec.gpus,
@@ -82,12 +81,12 @@
       yieldMemoryGb += spec.memoryGb;
     }
   };
-  for (const [key, listed] of belief.tasks) {
-    if (listed.state !== 'exited') take(key, true, listed.state === 'fetching');
+  for (const listed of belief.tasks.values()) {
+    if (listed.state !== 'exited') take(listed, true, listed.state === 'fetching');
   }
   for (const key of belief.pendingStarts.keys()) {
     const listed = belief.tasks.get(key);
-    if (!listed || listed.state === 'exited') take(key, false, false);
+    if (!listed || listed.state === 'exited') take(parseTaskKey(key), false, false);
   }
   return {
     generation: belief.generation,
--- a/src/holder/holder.ts
+++ b/src/holder/holder.ts
@@ -324,9 +324,8 @@
     const orders: Order[] = [];
     for (const [key, listed] of machine.belief.tasks) {
       if (listed.state !== 'exited' || machine.belief.pendingStarts.has(key)) continue;
-      const parsed = parseTaskKey(key);
-      const run = parsed ? this.jobs.get(parsed.job) : undefined;
-      const kept = listed.why === 'done' && run && !run.ended && parsed && !run.stored.has(parsed.index);
+      const run = this.jobs.get(listed.job);
+      const kept = listed.why === 'done' && run && !run.ended && !run.stored.has(listed.index);
       if (!kept) orders.push({ op: 'forget', key, attempt: listed.attempt });
     }
     return orders;
@@ -337,21 +336,20 @@
     const now = this.deps.clock.now();
     if (machine.belief.fenced) this.claimFence.delete(machine.id);
     for (const [key, listed] of machine.belief.tasks) {
-      const parsed = parseTaskKey(key);
-      const run = parsed ? this.jobs.get(parsed.job) : undefined;
-      if (!parsed || !run) continue;
-      const active = run.active.get(parsed.index);
+      const run = this.jobs.get(listed.job);
+      if (!run) continue;
+      const active = run.active.get(listed.index);
       const mine = active !== undefined && active.machine === machine.id && active.attempt === listed.attempt;
       if (listed.state === 'exited') {
         if (machine.seenExits.get(key) === listed.attempt) continue;
         machine.seenExits.set(key, listed.attempt);
-        this.onExit(machine, run, parsed.index, mine ? active : undefined, listed, now);
+        this.onExit(machine, run, listed.index, mine ? active : undefined, listed, now);
       } else if (mine) {
         this.onState(machine, run, active, listed, now);
-      } else if (!active && !run.done.has(parsed.index)) {
+      } else if (!active && !run.done.has(listed.index)) {
         // Started by an earlier holder: it is kept running.
         const adopted: ActiveTask = {
-          index: parsed.index,
+          index: listed.index,
           machine: machine.id,
           attempt: listed.attempt,
           orderedAt: now,
@@ -362,7 +360,7 @@
         this.assign(machine, run, adopted);
         this.onState(machine, run, adopted, listed, now);
       }
-      if (listed.state !== 'exited' && this.graceOf(machine, key, listed, now) !== null) this.toStop.add(machine);
+      if (listed.state !== 'exited' && this.graceOf(machine, listed, now) !== null) this.toStop.add(machine);
     }
     for (const key of machine.seenExits.keys()) if (!machine.belief.tasks.has(key)) machine.seenExits.delete(key);
     for (const key of machine.stopSentAt.keys()) if (!machine.belief.tasks.has(key)) machine.stopSentAt.delete(key);
@@ -695,7 +693,7 @@
       let any = false;
       for (const [key, listed] of machine.belief.tasks) {
         if (listed.state === 'exited') continue;
-        const grace = this.graceOf(machine, key, listed, now);
+        const grace = this.graceOf(machine, listed, now);
         if (grace === null) continue;
         any = true;
         const sentAt = machine.stopSentAt.get(key);
@@ -710,11 +708,10 @@
   }
 
   /** How long a task may save before it is gone, or null when it may stay. */
-  private graceOf(machine: HeldMachine, key: TaskKey, listed: ListedTask, now: Millis): number | null {
-    const parsed = parseTaskKey(key);
-    const run = parsed ? this.jobs.get(parsed.job) : undefined;
-    if (!parsed || !run || run.ended || run.done.has(parsed.index)) return 0;
-    const active = run.active.get(parsed.index);
+  private graceOf(machine: HeldMachine, listed: ListedTask, now: Millis): number | null {
+    const run = this.jobs.get(listed.job);
+    if (!run || run.ended || run.done.has(listed.index)) return 0;
+    const active = run.active.get(listed.index);
     if (!active || active.machine !== machine.id || active.attempt !== listed.attempt) return 0;
     if (!active.stopping) return null;
     const { graceS, since } = active.stopping;
--- a/src/leasing/plan.ts
+++ b/src/leasing/plan.ts
@@ -82,20 +82,23 @@
 export interface ArrayBacklog {
   readonly cpuSeconds: number;
   readonly withinS: number;
+  /** How long a machine rented for it now takes before it works. */
+  readonly leadS: number;
 }
 
 /**
  * How many cpus are missing so that every array is through in time, if all arrays share what runs
- * them now, earliest first: a fluid view, since slots that get free serve the next job.
+ * them now, earliest first: a fluid view, since slots that get free serve the next job. What is
+ * rented now works only once it is up: the shorter the time, the more of it is lost to booting.
  */
 export function missingCpus(backlog: readonly ArrayBacklog[], runningCpus: number, runningCpuSeconds: number): number {
   let work = runningCpuSeconds;
-  let needed = 0;
+  let missing = 0;
   for (const b of [...backlog].sort((x, y) => x.withinS - y.withinS)) {
     work += b.cpuSeconds;
-    needed = Math.max(needed, work / Math.max(1, b.withinS));
+    missing = Math.max(missing, (work - runningCpus * b.withinS) / Math.max(1, b.withinS - b.leadS));
   }
-  return Math.max(0, needed - runningCpus);
+  return missing;
 }
 
 function slotsIn(spec: JobSpec, s: Pick<Supply, 'cpus' | 'gpus' | 'memoryGb'>): number {
@@ -285,10 +288,12 @@
     }
   }
   const arrays = wants.filter((want) => want.spec.kind === 'array' && want.slots > 0);
-  const backlog = arrays.map((want) => ({
-    cpuSeconds: want.slots * want.spec.cpus * want.runS,
-    withinS: Math.max(want.runS, (want.slackS + want.runS) * patience),
-  }));
+  const backlog = arrays.map((want) => {
+    const leadS = leadOf(want.spec, input);
+    // What is late already is through soonest one run after the next machine is up.
+    const withinS = Math.max(leadS + want.runS, (want.slackS + want.runS) * patience);
+    return { cpuSeconds: want.slots * want.spec.cpus * want.runS, withinS, leadS };
+  });
   let missing = missingCpus(backlog, runningCpus, runningCpuSeconds);
   for (const want of arrays) {
     const slots = Math.min(want.slots, Math.ceil(missing / Math.max(0.01, want.spec.cpus)));
@@ -297,6 +302,16 @@
   }
 }
 
+/** Boot and image on the kind that works soonest. */
+function leadOf(spec: JobSpec, input: LeaseInput): number {
+  let lead = Infinity;
+  for (const type of input.types.values()) {
+    if (slotsIn(spec, type) > 0 && (spec.types === null || spec.types.includes(type.name)))
+      lead = Math.min(lead, type.bootS + spec.imageGb / type.fetchGbPerS);
+  }
+  return Number.isFinite(lead) ? lead : 0;
+}
+
 /** The lowest price of a cpu among the kinds that a job may use. */
 function cheapestCpu(spec: JobSpec, input: LeaseInput): number {
   let lowest = Infinity;
--- a/src/workers/belief.ts
+++ b/src/workers/belief.ts
@@ -62,11 +62,8 @@
     return this.changes;
   }
 
-  private reindex(before: Iterable<TaskKey>): void {
-    this.changes += 1;
-    if (!this.index) return;
-    const { mentions, machine } = this.index;
-    for (const key of before) if (!this.names(key)) mentions.leave(key, machine);
+  private drop(key: TaskKey): void {
+    if (!this.names(key)) this.index?.mentions.leave(key, this.index.machine);
   }
 
   private mention(key: TaskKey): void {
@@ -116,15 +113,15 @@
   }
 
   noteStart(key: TaskKey, attempt: Attempt): void {
-    this.starts.set(key, { attempt, token: this.token, session: this.at.session });
     this.changes += 1;
-    this.mention(key);
+    if (!this.names(key)) this.mention(key);
+    this.starts.set(key, { attempt, token: this.token, session: this.at.session });
   }
 
   /** The command with these starts was answered: what the worker lists now is all there is of them. */
   settleStarts(keys: readonly TaskKey[]): void {
-    for (const key of keys) this.starts.delete(key);
-    this.reindex(keys);
+    for (const key of keys) if (this.starts.delete(key)) this.drop(key);
+    this.changes += 1;
   }
 
   /** A command's fate is unknown. It may be executed minutes later unless a higher token comes first. */
@@ -141,18 +138,19 @@
     this.acked = message.token;
     this.lastHeardAt = now;
     if (this.starts.size === 0 && this.lists(message.tasks)) return 'taken';
-    const before = [...this.listing.keys(), ...this.starts.keys()];
+    const before = this.listing;
     this.listing = new Map(message.tasks.map((task) => [task.key, task]));
-    for (const task of message.tasks) this.mention(task.key);
+    for (const key of this.listing.keys()) if (!before.has(key) && !this.starts.has(key)) this.mention(key);
+    for (const key of before.keys()) this.drop(key);
     for (const [key, start] of this.starts) {
       const listed = this.listing.get(key);
       const settled =
         (listed !== undefined && listed.attempt === start.attempt) ||
         message.token > start.token ||
         message.session > start.session;
-      if (settled) this.starts.delete(key);
+      if (settled && this.starts.delete(key)) this.drop(key);
     }
-    this.reindex(before);
+    this.changes += 1;
     return 'taken';
   }
 
@@ -176,10 +174,11 @@
 
   /** The worker's lease is over: everything there is gone, and commands for its session are void. */
   expire(): void {
-    const before = [...this.listing.keys(), ...this.starts.keys()];
+    const before = new Set([...this.listing.keys(), ...this.starts.keys()]);
     this.listing.clear();
     this.starts.clear();
     this.expired = this.at.session;
-    this.reindex(before);
+    for (const key of before) this.drop(key);
+    this.changes += 1;
   }
 }
--- a/src/workers/wire.ts
+++ b/src/workers/wire.ts
@@ -6,10 +6,12 @@
   attempt,
   isObject,
   machineId,
+  parseTaskKey,
   sequence,
   session,
   token,
   type Attempt,
+  type JobId,
   type MachineId,
   type NodeName,
   type Sequence,
@@ -42,6 +44,9 @@
 
 export interface ListedTask {
   readonly key: TaskKey;
+  /** The key's parts: read once for each report, asked for many times. */
+  readonly job: JobId;
+  readonly index: number;
   readonly attempt: Attempt;
   readonly state: TaskState;
   readonly why: ExitWhy | null;
@@ -78,12 +83,14 @@
   const tasks: ListedTask[] = [];
   for (const item of asList(body['pieces'])) {
     if (!isObject(item)) return null;
-    const key = asString(item['piece']);
+    const key = asString(item['piece']) ?? '';
+    const named = parseTaskKey(key);
     const launch = asCount(item['launch']);
     const state = STATES[asString(item['phase']) ?? ''];
-    if (key === undefined || launch === undefined || state === undefined) return null;
+    if (!named || launch === undefined || state === undefined) return null;
     tasks.push({
       key: key as TaskKey,
+      ...named,
       attempt: attempt(launch),
       state,
       why: state === 'exited' ? (WHYS[asString(item['cause']) ?? ''] ?? 'error') : null,
--- a/test/standins/worker.ts
+++ b/test/standins/worker.ts
@@ -1,6 +1,7 @@
 import {
   attempt,
   machineId,
+  parseTaskKey,
   sequence,
   session,
   token,
@@ -75,9 +76,12 @@
       if (order.op === 'start') {
         if (known?.attempt === order.attempt) continue;
         if (known && known.state !== 'exited') continue;
+        const named = parseTaskKey(order.key);
+        if (!named) continue;
         this.started.push({ key: order.key, attempt: order.attempt });
         this.tasks.set(order.key, {
           key: order.key,
+          ...named,
           attempt: attempt(order.attempt),
           state: 'running',
           why: null,
