--- a/src/holder/holder.ts
+++ b/src/holder/holder.ts
@@ -93,6 +93,8 @@
 /** How old what stopping a task would lose may be. */
 const BOOKING_VALID_MS = 1500;
 const LOOK_ELSEWHERE_EVERY_MS = 1000;
+/** An array is through with its slowest task: how much longer that runs than the median. */
+const LAST_TASK = 1.3;
 const LOOK_ELSEWHERE_AT_ONCE = 4;
 const STOP_AGAIN_MS = 2500;
 const MOVE_AFTER_MS = 1200;
@@ -745,7 +747,15 @@
     const b = this.bookingOf(machine, now);
     if (!b?.known) return null;
     const { type } = b;
-    return {
+    const usable = this.usable(machine, now);
+    const suspicion = machine.suspicion(now);
+    const images = machine.imageList;
+    const known = machine.view;
+    // Most machines are in one round what they were in the last.
+    if (known?.booking === b && known.view.usable === usable && known.view.suspicion === suspicion) {
+      if (known.view.images === images) return known.view;
+    }
+    const view: MachineView = {
       id: machine.id,
       type: machine.info.type,
       zone: machine.info.zone,
@@ -756,21 +766,23 @@
       freeCpus: b.freeCpus,
       freeGpus: b.freeGpus,
       freeMemoryGb: b.freeMemoryGb,
-      usable: this.usable(machine, now),
-      images: machine.imageList,
+      usable,
+      images,
       fetchGbPerS: type.fetchGbPerS,
       fetching: b.fetching,
       cpuPrice: (machine.info.spot ? type.spotPrice : type.price) / type.cpus,
-      suspicion: machine.suspicion(now),
+      suspicion,
       running: b.running,
     };
+    machine.view = { booking: b, view };
+    return view;
   }
 
   /** Seconds until the job misses its next and its last aim, by its deadline or its class's aims. */
   private slackOf(run: JobRun): { slackS: number; lastSlackS: number } {
     const { spec } = run;
     const sinceS = (this.deps.clock.wall() - run.submittedAt) / 1000;
-    const runS = run.expectedRunS;
+    const runS = run.expectedRunS * (spec.kind === 'array' && spec.tasks > 1 ? LAST_TASK : 1);
     const times: number[] = [];
     if (spec.deadlineS !== null) times.push(spec.deadlineS - runS);
     else {
@@ -853,9 +865,11 @@
       this.noteDemand([], now);
       return;
     }
-    const views = [...this.machines.values()]
-      .map((m) => this.viewOf(m, now))
-      .filter((v): v is MachineView => v !== null);
+    const views: MachineView[] = [];
+    for (const machine of this.machines.values()) {
+      const view = this.viewOf(machine, now);
+      if (view?.usable === true) views.push(view);
+    }
     const reserve = this.reserve();
     const plan = planPlacement({ machines: views, pending, teams, maxStarts: 200, reserve });
     for (const stop of plan.stops) {
--- a/src/holder/machine.ts
+++ b/src/holder/machine.ts
@@ -1,5 +1,6 @@
 import type { Clock, JobId, Logger, MachineId, Millis, Revision, TaskKey } from '../kernel/index.js';
 import type { BlockMachine } from '../membership/index.js';
+import type { MachineView } from '../placement/index.js';
 import { Courier, MachineBelief, type CourierHooks, type Mentions } from '../workers/index.js';
 import type { Booking } from './booking.js';
 import type { ActiveTask, JobRun } from './run.js';
@@ -19,6 +20,8 @@
   readonly active = new Map<TaskKey, { readonly run: JobRun; readonly task: ActiveTask }>();
   /** What is booked here, as of the last change; see `booking.ts`. */
   booking: Booking | null = null;
+  /** How the last plan saw it. */
+  view: { readonly booking: Booking; readonly view: MachineView } | null = null;
   /** Exits that have been taken in, until the worker no longer lists them. */
   readonly seenExits = new Map<TaskKey, number>();
   readonly stopSentAt = new Map<TaskKey, Millis>();
@@ -55,7 +58,7 @@
   }
 
   noteImage(image: string): void {
-    if (image === '') return;
+    if (image === '' || this.images[0] === image) return;
     this.images = [image, ...this.images.filter((known) => known !== image)].slice(0, 8);
   }
 
@@ -76,13 +79,15 @@
   }
 
   suspicion(now: Millis): number {
-    const recent = this.failures.filter((f) => now - f.at < FAILURE_MEMORY_MS).length;
+    const recent = this.failures.length === 0 ? 0 : this.failures.filter((f) => now - f.at < FAILURE_MEMORY_MS).length;
     return recent + (this.runs >= 3 && this.slowness > 1.5 ? 1 : 0);
   }
 
   /** Fails the tasks of several jobs, or keeps failing, or is slow beyond doubt. */
   faulty(now: Millis): boolean {
+    if (this.runs >= 4 && this.slowness > 2) return true;
+    if (this.failures.length === 0) return false;
     const recent = this.failures.filter((f) => now - f.at < FAILURE_MEMORY_MS);
-    return recent.length >= 3 || new Set(recent.map((f) => f.job)).size >= 2 || (this.runs >= 4 && this.slowness > 2);
+    return recent.length >= 3 || new Set(recent.map((f) => f.job)).size >= 2;
   }
 }
--- a/src/leasing/leader.ts
+++ b/src/leasing/leader.ts
@@ -60,7 +60,7 @@
 const REFUSED_MS = 15_000;
 const IDLE_RETURN_S = 20;
 /** What is left for boots, fetches and stragglers. */
-const PATIENCE = 0.75;
+const PATIENCE = 0.55;
 const TRANSFER_PAUSE_MS = 3000;
 
 /** The leader's duties: machine blocks, fleet size, price. Losing the leader costs only these. */
--- a/src/leasing/plan.ts
+++ b/src/leasing/plan.ts
@@ -290,8 +290,8 @@
   const arrays = wants.filter((want) => want.spec.kind === 'array' && want.slots > 0);
   const backlog = arrays.map((want) => {
     const leadS = leadOf(want.spec, input);
-    // What is late already is through soonest one run after the next machine is up.
-    const withinS = Math.max(leadS + want.runS, (want.slackS + want.runS) * patience);
+    // What is late already should be on its way soon after the next machine is up.
+    const withinS = Math.max(leadS + want.runS / 2, (want.slackS + want.runS) * patience);
     return { cpuSeconds: want.slots * want.spec.cpus * want.runS, withinS, leadS };
   });
   let missing = missingCpus(backlog, runningCpus, runningCpuSeconds);
--- a/src/leasing/routing.ts
+++ b/src/leasing/routing.ts
@@ -77,8 +77,9 @@
   const rooms = summaries.map((s) => roomFor(spec, s, types));
   rooms.sort(
     (a, b) =>
-      b.slots - a.slots ||
+      // Arrays give way to a service at once: all of it in one block counts more than what is free already.
       b.afterStops - a.afterStops ||
+      b.slots - a.slots ||
       // A gang that finds no room waits where most of its kind of machine is: scattered, they never suffice.
       (spec.kind === 'gang' && a.slots < spec.tasks ? b.machines - a.machines : 0) ||
       b.warm - a.warm ||
--- a/src/service/service.ts
+++ b/src/service/service.ts
@@ -28,7 +28,7 @@
 const HAND_BACK_AFTER_MS = 3000;
 const UNFIT_MS = 20_000;
 const TYPES_EVERY_MS = 30_000;
-const REST_FACTOR = 10;
+const REST_FACTOR = 5;
 
 /** One controller: all slices put together. */
 export class Service {
@@ -135,7 +135,7 @@
       () => {
         for (const holder of this.holders.values()) holder.round();
       },
-      40,
+      60,
       // A report that waits for a plan is worse than a plan that waits for a report.
       REST_FACTOR,
     );
