--- a/src/holder/holder.ts
+++ b/src/holder/holder.ts
@@ -93,6 +93,8 @@
 /** How old what stopping a task would lose may be. */
 const BOOKING_VALID_MS = 1500;
 const LOOK_ELSEWHERE_EVERY_MS = 1000;
+/** An array is through with its slowest task: how much longer that runs than the median. */
+const LAST_TASK = 1.3;
 const LOOK_ELSEWHERE_AT_ONCE = 4;
 const STOP_AGAIN_MS = 2500;
 const MOVE_AFTER_MS = 1200;
@@ -324,9 +326,8 @@
     const orders: Order[] = [];
     for (const [key, listed] of machine.belief.tasks) {
       if (listed.state !== 'exited' || machine.belief.pendingStarts.has(key)) continue;
-      const parsed = parseTaskKey(key);
-      const run = parsed ? this.jobs.get(parsed.job) : undefined;
-      const kept = listed.why === 'done' && run && !run.ended && parsed && !run.stored.has(parsed.index);
+      const run = this.jobs.get(listed.job);
+      const kept = listed.why === 'done' && run && !run.ended && !run.stored.has(listed.index);
       if (!kept) orders.push({ op: 'forget', key, attempt: listed.attempt });
     }
     return orders;
@@ -337,21 +338,20 @@
     const now = this.deps.clock.now();
     if (machine.belief.fenced) this.claimFence.delete(machine.id);
     for (const [key, listed] of machine.belief.tasks) {
-      const parsed = parseTaskKey(key);
-      const run = parsed ? this.jobs.get(parsed.job) : undefined;
-      if (!parsed || !run) continue;
-      const active = run.active.get(parsed.index);
+      const run = this.jobs.get(listed.job);
+      if (!run) continue;
+      const active = run.active.get(listed.index);
       const mine = active !== undefined && active.machine === machine.id && active.attempt === listed.attempt;
       if (listed.state === 'exited') {
         if (machine.seenExits.get(key) === listed.attempt) continue;
         machine.seenExits.set(key, listed.attempt);
-        this.onExit(machine, run, parsed.index, mine ? active : undefined, listed, now);
+        this.onExit(machine, run, listed.index, mine ? active : undefined, listed, now);
       } else if (mine) {
         this.onState(machine, run, active, listed, now);
-      } else if (!active && !run.done.has(parsed.index)) {
+      } else if (!active && !run.done.has(listed.index)) {
         // Started by an earlier holder: it is kept running.
         const adopted: ActiveTask = {
-          index: parsed.index,
+          index: listed.index,
           machine: machine.id,
           attempt: listed.attempt,
           orderedAt: now,
@@ -362,7 +362,7 @@
         this.assign(machine, run, adopted);
         this.onState(machine, run, adopted, listed, now);
       }
-      if (listed.state !== 'exited' && this.graceOf(machine, key, listed, now) !== null) this.toStop.add(machine);
+      if (listed.state !== 'exited' && this.graceOf(machine, listed, now) !== null) this.toStop.add(machine);
     }
     for (const key of machine.seenExits.keys()) if (!machine.belief.tasks.has(key)) machine.seenExits.delete(key);
     for (const key of machine.stopSentAt.keys()) if (!machine.belief.tasks.has(key)) machine.stopSentAt.delete(key);
@@ -695,7 +695,7 @@
       let any = false;
       for (const [key, listed] of machine.belief.tasks) {
         if (listed.state === 'exited') continue;
-        const grace = this.graceOf(machine, key, listed, now);
+        const grace = this.graceOf(machine, listed, now);
         if (grace === null) continue;
         any = true;
         const sentAt = machine.stopSentAt.get(key);
@@ -710,11 +710,10 @@
   }
 
   /** How long a task may save before it is gone, or null when it may stay. */
-  private graceOf(machine: HeldMachine, key: TaskKey, listed: ListedTask, now: Millis): number | null {
-    const parsed = parseTaskKey(key);
-    const run = parsed ? this.jobs.get(parsed.job) : undefined;
-    if (!parsed || !run || run.ended || run.done.has(parsed.index)) return 0;
-    const active = run.active.get(parsed.index);
+  private graceOf(machine: HeldMachine, listed: ListedTask, now: Millis): number | null {
+    const run = this.jobs.get(listed.job);
+    if (!run || run.ended || run.done.has(listed.index)) return 0;
+    const active = run.active.get(listed.index);
     if (!active || active.machine !== machine.id || active.attempt !== listed.attempt) return 0;
     if (!active.stopping) return null;
     const { graceS, since } = active.stopping;
@@ -748,7 +747,15 @@
     const b = this.bookingOf(machine, now);
     if (!b?.known) return null;
     const { type } = b;
-    return {
+    const usable = this.usable(machine, now);
+    const suspicion = machine.suspicion(now);
+    const images = machine.imageList;
+    const known = machine.view;
+    // Most machines are in one round what they were in the last.
+    if (known?.booking === b && known.view.usable === usable && known.view.suspicion === suspicion) {
+      if (known.view.images === images) return known.view;
+    }
+    const view: MachineView = {
       id: machine.id,
       type: machine.info.type,
       zone: machine.info.zone,
@@ -759,21 +766,23 @@
       freeCpus: b.freeCpus,
       freeGpus: b.freeGpus,
       freeMemoryGb: b.freeMemoryGb,
-      usable: this.usable(machine, now),
-      images: machine.imageList,
+      usable,
+      images,
       fetchGbPerS: type.fetchGbPerS,
       fetching: b.fetching,
       cpuPrice: (machine.info.spot ? type.spotPrice : type.price) / type.cpus,
-      suspicion: machine.suspicion(now),
+      suspicion,
       running: b.running,
     };
+    machine.view = { booking: b, view };
+    return view;
   }
 
   /** Seconds until the job misses its next and its last aim, by its deadline or its class's aims. */
   private slackOf(run: JobRun): { slackS: number; lastSlackS: number } {
     const { spec } = run;
     const sinceS = (this.deps.clock.wall() - run.submittedAt) / 1000;
-    const runS = run.expectedRunS;
+    const runS = run.expectedRunS * (spec.kind === 'array' && spec.tasks > 1 ? LAST_TASK : 1);
     const times: number[] = [];
     if (spec.deadlineS !== null) times.push(spec.deadlineS - runS);
     else {
@@ -856,9 +865,11 @@
       this.noteDemand([], now);
       return;
     }
-    const views = [...this.machines.values()]
-      .map((m) => this.viewOf(m, now))
-      .filter((v): v is MachineView => v !== null);
+    const views: MachineView[] = [];
+    for (const machine of this.machines.values()) {
+      const view = this.viewOf(machine, now);
+      if (view?.usable === true) views.push(view);
+    }
     const reserve = this.reserve();
     const plan = planPlacement({ machines: views, pending, teams, maxStarts: 200, reserve });
     for (const stop of plan.stops) {
