--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -107,6 +107,22 @@
     if (!victim || !forJob || victim.priority >= forJob.spec.priority)
       problems.push('preempts equal or higher priority');
   }
+  // What kinds of jobs a plan gives up on is remembered within it: no array may miss room for that.
+  for (const p of given.pending) {
+    const { spec: s } = p;
+    const started = plan.starts.filter((start) => start.job === s.id).length;
+    if (s.kind !== 'array' || started === p.ready.length || plan.stops.length > 0 || given.teams.size > 0) continue;
+    for (const m of given.machines) {
+      const left = free.get(m.id);
+      const use = zones.get(s.id) ?? new Map<string, number>();
+      if (!left || !m.usable || m.freeGpus > 0 || (m.spot && !s.spot)) continue;
+      if ((s.types && !s.types.includes(m.type)) || (s.zone && s.zone !== m.zone)) continue;
+      if (s.oneZone && [...use].some(([z, n]) => n > 0 && z !== m.zone)) continue;
+      if (s.spread && (use.get(m.zone) ?? 0) >= zoneLimit(s)) continue;
+      if (s.cpus <= left.cpus && s.gpus <= left.gpus && s.memoryGb <= left.memory)
+        problems.push(`${s.id} waits beside room on ${m.id}`);
+    }
+  }
   // One task alone: it is placed exactly when some machine can take it.
   const [only] = given.pending;
   if (given.pending.length === 1 && only?.ready.length === 1 && given.teams.size === 0) {
