--- a/src/holder/holder.ts
+++ b/src/holder/holder.ts
@@ -31,7 +31,14 @@
   type ShardValue,
 } from '../membership/index.js';
 import type { DemandSummary, MachineSummary, ShardSummary } from '../peers/index.js';
-import { planPlacement, type MachineView, type PendingJob, type Reserve, type TeamUse } from '../placement/index.js';
+import {
+  planPlacement,
+  relevance,
+  type MachineView,
+  type PendingJob,
+  type Reserve,
+  type TeamUse,
+} from '../placement/index.js';
 import { chooseRestarts, flagTasks, resourceR, type Flag, type Tunables } from '../speculation/index.js';
 import { JOBS, jobKey, shardKey, Urgency, type Change, type Mirror, type StateClient } from '../state/index.js';
 import {
@@ -92,10 +99,10 @@
 const SWEEP_EVERY_MS = 250;
 /** How old what stopping a task would lose may be. */
 const BOOKING_VALID_MS = 1500;
-const LOOK_ELSEWHERE_EVERY_MS = 1000;
+const LOOK_ELSEWHERE_EVERY_MS = 1500;
 /** An array is through with its slowest task: how much longer that runs than the median. */
 const LAST_TASK = 1.3;
-const LOOK_ELSEWHERE_AT_ONCE = 4;
+const LOOK_ELSEWHERE_AT_ONCE = 2;
 const STOP_AGAIN_MS = 2500;
 const MOVE_AFTER_MS = 1200;
 const LEAVE_WITHIN_MS = 10_000;
@@ -866,7 +873,10 @@
       return;
     }
     const views: MachineView[] = [];
+    const relevant = relevance(pending.map((job) => job.spec));
     for (const machine of this.machines.values()) {
+      const booking = this.bookingOf(machine, now);
+      if (!booking || !relevant(machine.info, booking)) continue;
       const view = this.viewOf(machine, now);
       if (view?.usable === true) views.push(view);
     }
--- a/src/kernel/loop.ts
+++ b/src/kernel/loop.ts
@@ -2,7 +2,7 @@
 import { sleep } from './http.js';
 import type { Logger } from './logger.js';
 
-const MOST_REST_MS = 200;
+const MOST_REST_MS = 160;
 
 /**
  * A reconcile loop: works out the difference between what is wanted and what is, every `everyMs`
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -212,6 +212,33 @@
   `${spec.types?.join(',') ?? ''}|${spec.zone ?? ''}|${spec.spot ? 1 : 0}|${spec.cpus}|${spec.gpus}|${spec.memoryGb}|` +
   `${spec.kind}|${spec.priority}|${mayBorrow(spec) ? 1 : 0}`;
 
+/**
+ * Which machines a plan for these jobs needs to see: most of a full block has nothing to offer.
+ * An array takes what is free; the others may have something stopped, so every allowed machine counts.
+ */
+export function relevance(
+  specs: readonly JobSpec[],
+): (
+  m: Pick<MachineView, 'type' | 'zone' | 'spot'>,
+  free: Pick<MachineView, 'freeCpus' | 'freeGpus' | 'freeMemoryGb'>,
+) => boolean {
+  const kinds = [...new Map(specs.map((spec) => [kindOf(spec), spec])).values()];
+  const allowed = new Map<string, JobSpec[]>();
+  return (m, free) => {
+    const key = `${m.type}|${m.zone}|${m.spot}`;
+    let here = allowed.get(key);
+    if (!here) allowed.set(key, (here = kinds.filter((spec) => allowedKind(spec, m))));
+    return here.some(
+      (spec) =>
+        spec.kind !== 'array' ||
+        spec.priority >= Priority.high ||
+        (spec.cpus <= free.freeCpus + EPSILON &&
+          spec.gpus <= free.freeGpus + EPSILON &&
+          spec.memoryGb <= free.freeMemoryGb + EPSILON),
+    );
+  };
+}
+
 /** The best of many rooms again and again, while only the room that was taken last has changed. */
 class Choice {
   private readonly scores: Float64Array;
--- a/src/service/http.ts
+++ b/src/service/http.ts
@@ -20,10 +20,13 @@
   report(message: WorkerMessage): ReportReply;
 }
 
-const send = (res: Response, answer: UserAnswer): void => {
-  if (answer.retryAfterS !== undefined) res.set('Retry-After', String(answer.retryAfterS));
-  res.status(answer.status).json(answer.body);
-};
+/** Users poll every job they have: this is written without the router's help, which costs more than the answer. */
+function send(res: ServerResponse, answer: UserAnswer): void {
+  const text = JSON.stringify(answer.body);
+  if (answer.retryAfterS !== undefined) res.setHeader('retry-after', String(answer.retryAfterS));
+  res.writeHead(answer.status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) });
+  res.end(text);
+}
 
 /** The interface of users, workers and operators. */
 export function createApp(handlers: Handlers, admin: Router, log: Logger): Express {
@@ -77,11 +80,7 @@
 function serveReport(handlers: Handlers, log: Logger, req: IncomingMessage, res: ServerResponse): void {
   const chunks: Buffer[] = [];
   let size = 0;
-  const answer = (status: number, body: unknown): void => {
-    const text = JSON.stringify(body);
-    res.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) });
-    res.end(text);
-  };
+  const answer = (status: number, body: unknown): void => send(res, { status, body });
   req.on('data', (chunk: Buffer) => {
     size += chunk.length;
     if (size <= BODY_LIMIT) chunks.push(chunk);
--- a/src/service/service.ts
+++ b/src/service/service.ts
@@ -28,7 +28,7 @@
 const HAND_BACK_AFTER_MS = 3000;
 const UNFIT_MS = 20_000;
 const TYPES_EVERY_MS = 30_000;
-const REST_FACTOR = 5;
+const REST_FACTOR = 20;
 
 /** One controller: all slices put together. */
 export class Service {
