--- a/src/holder/holder.ts
+++ b/src/holder/holder.ts
@@ -91,6 +91,7 @@
 });
 
 const MAX_READY = 100;
+const FORGET_AT_ONCE = 6;
 const PROGRESS_EVERY_MS = 1500;
 /** So many jobs' progress at a time: the rest waits here, where the next write holds all of it. */
 const PROGRESS_AT_ONCE = 2;
@@ -328,16 +329,22 @@
     return { status: 200, body: encodeReply(machine.belief.token, this.forgets(machine)) };
   }
 
-  /** Exited tasks that the worker need not keep. A finished one only when that is stored. */
+  /**
+   * Exited tasks that the worker need not keep. A finished one only when that is stored. Each forgetting
+   * makes the worker report at once, so it waits for a few, or for the machine to be idle.
+   */
   private forgets(machine: HeldMachine): Order[] {
     const orders: Order[] = [];
+    let atOnce = machine.belief.empty;
     for (const [key, listed] of machine.belief.tasks) {
       if (listed.state !== 'exited' || machine.belief.pendingStarts.has(key)) continue;
       const run = this.jobs.get(listed.job);
       const kept = listed.why === 'done' && run && !run.ended && !run.stored.has(listed.index);
       if (!kept) orders.push({ op: 'forget', key, attempt: listed.attempt });
+      // Such a task may be started there again, which is plainest when nothing is left of it.
+      if (!kept && listed.why !== 'done') atOnce = true;
     }
-    return orders;
+    return atOnce || orders.length >= FORGET_AT_ONCE ? orders : [];
   }
 
   /** Takes in what a worker lists: progress, exits, and tasks that an earlier holder started. */
--- a/src/service/service.ts
+++ b/src/service/service.ts
@@ -23,7 +23,7 @@
 import { createApp, createHandler, listen, type Handlers } from './http.js';
 import { UserDesk } from './users.js';
 
-const SUMMARY_EVERY_MS = 500;
+const SUMMARY_EVERY_MS = 800;
 const SUMMARY_VALID_MS = 5000;
 const HAND_BACK_AFTER_MS = 3000;
 const UNFIT_MS = 20_000;
@@ -127,7 +127,7 @@
       tell: (node, message) => this.tell(node, message),
       nudge: () => this.leaderRounds.nudge(),
     });
-    this.leaderRounds = new ReconcileLoop('leader', 800, log, () => this.leader.round(), 400);
+    this.leaderRounds = new ReconcileLoop('leader', 1000, log, () => this.leader.round(), 700);
     this.rounds = new ReconcileLoop(
       'holders',
       250,
@@ -135,7 +135,7 @@
       () => {
         for (const holder of this.holders.values()) holder.round();
       },
-      60,
+      100,
       // A report that waits for a plan is worse than a plan that waits for a report.
       REST_FACTOR,
     );
--- a/src/state/freshness.ts
+++ b/src/state/freshness.ts
@@ -3,7 +3,7 @@
 import type { Mirror } from './mirror.js';
 
 /** Questions that come this close together share one request. */
-const SHARE_MS = 40;
+const SHARE_MS = 120;
 /** The watch usually follows within a tenth of a second; whoever waits longer reads the key itself. */
 const FOLLOW_MS = 700;
 
--- a/src/state/mirror.ts
+++ b/src/state/mirror.ts
@@ -4,7 +4,7 @@
 import type { Change, Entry } from './wire.js';
 
 /** Every opened watch counts as a request: changes that follow each other closely share one. */
-const REOPEN_MS = 60;
+const REOPEN_MS = 100;
 /** After so many changes of a page everything else gets a turn. */
 const CHANGES_AT_ONCE = 200;
 const NONE: ReadonlyMap<string, Entry> = new Map();
