--- a/src/holder/holder.ts
+++ b/src/holder/holder.ts
@@ -31,7 +31,14 @@
   type ShardValue,
 } from '../membership/index.js';
 import type { DemandSummary, MachineSummary, ShardSummary } from '../peers/index.js';
-import { planPlacement, type MachineView, type PendingJob, type Reserve, type TeamUse } from '../placement/index.js';
+import {
+  planPlacement,
+  relevance,
+  type MachineView,
+  type PendingJob,
+  type Reserve,
+  type TeamUse,
+} from '../placement/index.js';
 import { chooseRestarts, flagTasks, resourceR, type Flag, type Tunables } from '../speculation/index.js';
 import { JOBS, jobKey, shardKey, Urgency, type Change, type Mirror, type StateClient } from '../state/index.js';
 import {
@@ -84,6 +91,7 @@
 });
 
 const MAX_READY = 100;
+const FORGET_AT_ONCE = 6;
 const PROGRESS_EVERY_MS = 1500;
 /** So many jobs' progress at a time: the rest waits here, where the next write holds all of it. */
 const PROGRESS_AT_ONCE = 2;
@@ -92,10 +100,10 @@
 const SWEEP_EVERY_MS = 250;
 /** How old what stopping a task would lose may be. */
 const BOOKING_VALID_MS = 1500;
-const LOOK_ELSEWHERE_EVERY_MS = 1000;
+const LOOK_ELSEWHERE_EVERY_MS = 1500;
 /** An array is through with its slowest task: how much longer that runs than the median. */
 const LAST_TASK = 1.3;
-const LOOK_ELSEWHERE_AT_ONCE = 4;
+const LOOK_ELSEWHERE_AT_ONCE = 2;
 const STOP_AGAIN_MS = 2500;
 const MOVE_AFTER_MS = 1200;
 const LEAVE_WITHIN_MS = 10_000;
@@ -321,16 +329,22 @@
     return { status: 200, body: encodeReply(machine.belief.token, this.forgets(machine)) };
   }
 
-  /** Exited tasks that the worker need not keep. A finished one only when that is stored. */
+  /**
+   * Exited tasks that the worker need not keep. A finished one only when that is stored. Each forgetting
+   * makes the worker report at once, so it waits for a few, or for the machine to be idle.
+   */
   private forgets(machine: HeldMachine): Order[] {
     const orders: Order[] = [];
+    let atOnce = machine.belief.empty;
     for (const [key, listed] of machine.belief.tasks) {
       if (listed.state !== 'exited' || machine.belief.pendingStarts.has(key)) continue;
       const run = this.jobs.get(listed.job);
       const kept = listed.why === 'done' && run && !run.ended && !run.stored.has(listed.index);
       if (!kept) orders.push({ op: 'forget', key, attempt: listed.attempt });
+      // Such a task may be started there again, which is plainest when nothing is left of it.
+      if (!kept && listed.why !== 'done') atOnce = true;
     }
-    return orders;
+    return atOnce || orders.length >= FORGET_AT_ONCE ? orders : [];
   }
 
   /** Takes in what a worker lists: progress, exits, and tasks that an earlier holder started. */
@@ -866,7 +880,10 @@
       return;
     }
     const views: MachineView[] = [];
+    const relevant = relevance(pending.map((job) => job.spec));
     for (const machine of this.machines.values()) {
+      const booking = this.bookingOf(machine, now);
+      if (!booking || !relevant(machine.info, booking)) continue;
       const view = this.viewOf(machine, now);
       if (view?.usable === true) views.push(view);
     }
