What nobody knows is stopped again: tasks of jobs cancelled while the shard had no holder

A job that is cancelled while its holder is down is unknown to the next one. Ruled out: lost stop commands (a machine stays marked until nothing is left to stop). The end-to-end test fails without the change.

--- a/src/holder/holder.ts
+++ b/src/holder/holder.ts
@@ -353,7 +353,11 @@
     if (machine.belief.fenced) this.claimFence.delete(machine.id);
     for (const [key, listed] of machine.belief.tasks) {
       const run = this.jobs.get(listed.job);
-      if (!run) continue;
+      if (!run) {
+        // Cancelled while the earlier holder was down: nobody else will ever stop it.
+        if (listed.state !== 'exited') this.toStop.add(machine);
+        continue;
+      }
       const active = run.active.get(listed.index);
       const mine = active !== undefined && active.machine === machine.id && active.attempt === listed.attempt;
       if (listed.state === 'exited') {
--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -2,7 +2,7 @@
 import { createServer, type AddressInfo } from 'node:net';
 import { test } from 'node:test';
 import { parseSettings } from '../src/config/index.js';
-import { createLogger, HttpClient, isObject, sleep } from '../src/kernel/index.js';
+import { attempt, createLogger, HttpClient, isObject, jobId, sleep, taskKey } from '../src/kernel/index.js';
 import { Service } from '../src/service/index.js';
 import { StandInCloud } from './standins/cloud.js';
 import { StandInMachine } from './standins/machine.js';
@@ -143,6 +143,15 @@
       await until('cancelled', async () => (await call(1, 'POST', '/v1/jobs/j-3/cancel', {})).phase === 'withdrawn');
       await until('the replica is gone', () => on('j-3/0') === 0);
       assert.equal((await call(1, 'POST', '/v1/jobs', job('j-3', 'daemon', 1))).phase, 'withdrawn');
+
+      // What an earlier holder started for a job that is over when the shard changes hands.
+      const [machine] = machines;
+      assert.ok(machine);
+      const { token, session } = machine.worker.report();
+      const left = taskKey(jobId('j-gone'), 0);
+      machine.worker.onCommands(token, session, [{ op: 'start', key: left, attempt: attempt(1) }]);
+      assert.ok(machine.worker.isOn(left));
+      await until('nothing runs of a job that nobody knows', () => !machine.worker.isOn(left));
     } finally {
       for (const service of services) service.stop();
       for (const machine of machines) machine.stop();
