--- a/src/kernel/http.ts
+++ b/src/kernel/http.ts
@@ -1,4 +1,5 @@
-import { Agent, request } from 'node:http';
+import { connect, type Socket } from 'node:net';
+import { headEnd, joinChunks, readResponseHead, type ResponseHead } from './head.js';
 
 /** What came of an outgoing request: an answer, or a failure whose effect is unknown when it was sent. */
 export type Answer =
@@ -28,77 +29,202 @@
   return port > 0 && port < 65536 ? { host: match[1] ?? '', port } : null;
 }
 
-/** A client for one remote address, with bounded sockets that are kept open. */
-export class HttpClient {
-  private readonly agent: Agent;
+interface Waiting {
+  readonly text: string;
+  readonly maxBytes: number;
+  readonly finish: (answer: Answer) => void;
+  done: boolean;
+}
+
+const failed = (reason: string): Answer => ({ kind: 'failed', reason });
+
+/** One connection: one request at a time. What breaks it fails its request; nothing is sent twice. */
+class Line {
+  private readonly socket: Socket;
+  private input: Buffer[] = [];
+  private size = 0;
+  private head: ResponseHead | undefined;
+  private current: Waiting | undefined;
+  private alive = true;
 
   constructor(
-    readonly address: Address,
-    maxSockets: number,
+    address: Address,
+    private readonly free: (line: Line) => void,
+    private readonly gone: (line: Line) => void,
   ) {
-    this.agent = new Agent({ keepAlive: true, maxSockets, maxFreeSockets: maxSockets, scheduling: 'lifo' });
+    this.socket = connect({ host: address.host, port: address.port, noDelay: true });
+    this.socket.on('data', (chunk: Buffer) => this.onData(chunk));
+    this.socket.on('error', (error) => this.end(error.message));
+    this.socket.on('close', () => this.end('connection closed'));
+    this.socket.on('end', () => this.onEnd());
+  }
+
+  serves(request: Waiting): boolean {
+    return this.current === request;
+  }
+
+  send(request: Waiting): void {
+    this.current = request;
+    this.socket.write(request.text);
+  }
+
+  end(reason: string): void {
+    if (this.alive) {
+      this.alive = false;
+      this.socket.destroy();
+      this.gone(this);
+    }
+    const { current } = this;
+    this.current = undefined;
+    current?.finish(failed(reason));
+  }
+
+  private onEnd(): void {
+    if (this.current && this.head && this.head.length === null && !this.head.chunked) {
+      this.answer(Buffer.concat(this.input).subarray(this.head.bodyAt));
+    }
+    this.end('answer cut off');
+  }
+
+  private onData(chunk: Buffer): void {
+    const { current } = this;
+    if (!current) {
+      this.end('an answer to nothing');
+      return;
+    }
+    this.input.push(chunk);
+    this.size += chunk.length;
+    if (this.size > current.maxBytes) {
+      this.end('answer too long');
+      return;
+    }
+    // Long answers come in many pieces, which are joined once all are there.
+    if (this.head?.length != null && this.size < this.head.bodyAt + this.head.length) return;
+    const input = this.input.length === 1 ? chunk : Buffer.concat(this.input);
+    if (this.input.length > 1) this.input = [input];
+    if (!this.head) {
+      const end = headEnd(input);
+      if (end < 0) return;
+      const head = readResponseHead(input, end);
+      if (!head) {
+        this.end('not an HTTP answer');
+        return;
+      }
+      this.head = head;
+    }
+    this.take(input, this.head);
+  }
+
+  private take(input: Buffer, head: ResponseHead): void {
+    if (head.chunked) {
+      const joined = joinChunks(input.subarray(head.bodyAt));
+      if (joined === 'more') return;
+      if (joined === 'malformed') this.end('malformed chunks');
+      else this.answer(joined.body);
+    } else if (head.length !== null && input.length >= head.bodyAt + head.length) {
+      this.answer(input.subarray(head.bodyAt, head.bodyAt + head.length));
+    }
   }
 
+  private answer(body: Buffer): void {
+    const { current, head } = this;
+    if (!current || !head) return;
+    this.current = undefined;
+    this.head = undefined;
+    this.input = [];
+    this.size = 0;
+    let answer: Answer;
+    try {
+      const value = body.length === 0 ? null : (JSON.parse(body.toString('utf8')) as unknown);
+      answer = { kind: 'answered', status: head.status, body: value };
+    } catch {
+      answer = failed('answer is not JSON');
+    }
+    if (head.close) this.end('closed by the other side');
+    else this.free(this);
+    current.finish(answer);
+  }
+}
+
+/**
+ * A client for one remote address, with bounded connections that are kept open. Written on sockets:
+ * a command to a worker and a change in the state service cost a fraction of what the http module's
+ * objects cost, on a controller with a fraction of a core.
+ */
+export class HttpClient {
+  private readonly idle: Line[] = [];
+  private readonly lines = new Set<Line>();
+  private readonly queue: Waiting[] = [];
+
+  constructor(
+    readonly address: Address,
+    private readonly maxSockets: number,
+  ) {}
+
   close(): void {
-    this.agent.destroy();
+    for (const waiting of this.queue.splice(0)) waiting.finish(failed('closed'));
+    for (const line of [...this.lines]) line.end('closed');
   }
 
   call(call: Call): Promise<Answer> {
     return new Promise((resolve) => {
-      let settled = false;
-      const finish = (answer: Answer): void => {
-        if (settled) return;
-        settled = true;
-        clearTimeout(timer);
-        resolve(answer);
-      };
-      const payload = call.body === undefined ? undefined : Buffer.from(JSON.stringify(call.body));
-      const headers: Record<string, string | number> = {};
-      if (payload) {
-        headers['content-type'] = 'application/json';
-        headers['content-length'] = payload.length;
-      }
-      const req = request(
-        {
-          agent: this.agent,
-          host: this.address.host,
-          port: this.address.port,
-          method: call.method,
-          path: call.path,
-          headers,
-        },
-        (res) => {
-          const chunks: Buffer[] = [];
-          let size = 0;
-          res.on('data', (chunk: Buffer) => {
-            size += chunk.length;
-            if (size > (call.maxBytes ?? MAX_BYTES)) {
-              finish({ kind: 'failed', reason: 'answer too long' });
-              req.destroy();
-            } else chunks.push(chunk);
-          });
-          res.on('end', () => {
-            let body: unknown = null;
-            try {
-              body = size === 0 ? null : JSON.parse(Buffer.concat(chunks).toString('utf8'));
-            } catch {
-              finish({ kind: 'failed', reason: 'answer is not JSON' });
-              return;
-            }
-            finish({ kind: 'answered', status: res.statusCode ?? 0, body });
-          });
-          res.on('error', (error) => finish({ kind: 'failed', reason: error.message }));
-          res.on('aborted', () => finish({ kind: 'failed', reason: 'answer cut off' }));
+      const waiting: Waiting = {
+        text: this.encode(call),
+        maxBytes: call.maxBytes ?? MAX_BYTES,
+        done: false,
+        finish: (answer) => {
+          if (waiting.done) return;
+          waiting.done = true;
+          clearTimeout(timer);
+          resolve(answer);
         },
-      );
+      };
       const timer = setTimeout(() => {
-        finish({ kind: 'failed', reason: 'timeout' });
-        req.destroy();
+        const line = [...this.lines].find((candidate) => candidate.serves(waiting));
+        waiting.finish(failed('timeout'));
+        // Its answer may still come: the connection can't be used for another.
+        line?.end('timeout');
       }, call.timeoutMs);
-      req.on('error', (error) => finish({ kind: 'failed', reason: error.message }));
-      req.end(payload);
+      this.queue.push(waiting);
+      this.pump();
     });
   }
+
+  private encode(call: Call): string {
+    const head = `${call.method} ${call.path} HTTP/1.1\r\nhost: ${this.address.host}:${this.address.port}\r\n`;
+    if (call.body === undefined) return `${head}\r\n`;
+    const body = JSON.stringify(call.body);
+    return `${head}content-type: application/json\r\ncontent-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`;
+  }
+
+  private pump(): void {
+    while (this.queue.length > 0) {
+      const line = this.idle.pop() ?? this.open();
+      if (!line) return;
+      const next = this.queue.shift();
+      if (next && !next.done) line.send(next);
+      else this.idle.push(line);
+    }
+  }
+
+  private open(): Line | undefined {
+    if (this.lines.size >= this.maxSockets) return undefined;
+    const line = new Line(
+      this.address,
+      (free) => {
+        this.idle.push(free);
+        this.pump();
+      },
+      (gone) => {
+        this.lines.delete(gone);
+        const at = this.idle.indexOf(gone);
+        if (at >= 0) this.idle.splice(at, 1);
+        this.pump();
+      },
+    );
+    this.lines.add(line);
+    return line;
+  }
 }
 
 /** Reads of untrusted JSON: a field of the wrong kind is undefined, never a thrown error. */
--- a/src/service/http.ts
+++ b/src/service/http.ts
@@ -1,4 +1,5 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { createServer as createWebServer, type ServerResponse } from 'node:http';
+import { createServer, type AddressInfo, type Socket } from 'node:net';
 import express, {
   type ErrorRequestHandler,
   type Express,
@@ -6,13 +7,15 @@
   type Response,
   type Router,
 } from 'express';
-import type { Logger } from '../kernel/index.js';
+import type { Logger, RequestHead } from '../kernel/index.js';
 import { parseSubmission } from '../jobs/index.js';
 import type { ReportReply } from '../holder/index.js';
 import { decodeMessage, type WorkerMessage } from '../workers/index.js';
+import { Lane, type LaneAnswer, type LaneHandler } from './lane.js';
 import type { UserAnswer, UserRequest } from './users.js';
 
 const BODY_LIMIT = 64 * 1024;
+const IDLE_MS = 120_000;
 
 export interface Handlers {
   healthy(): boolean;
@@ -49,6 +52,8 @@
   });
   app.get('/v1/jobs/:id', (req, res, next) => user(res, next, { op: 'query', id: req.params.id }));
   app.post('/v1/jobs/:id/cancel', (req, res, next) => user(res, next, { op: 'cancel', id: req.params.id }));
+  // Reports that are not plain enough for the lane.
+  app.post('/v1/report', (req, res) => send(res, answerReport(handlers, log, req.body)));
   app.use('/admin/v1', admin);
   app.use((_req, res) => {
     res.status(404).json({ error: 'not found' });
@@ -71,71 +76,112 @@
   return app;
 }
 
-const REPORT_PATH = '/v1/report';
-
-/**
- * Reports are most of what a controller is asked, hundreds a second on a fraction of a core: they
- * pass by the router and its body parser, which cost more than a report itself.
- */
-function serveReport(handlers: Handlers, log: Logger, req: IncomingMessage, res: ServerResponse): void {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  const answer = (status: number, body: unknown): void => send(res, { status, body });
-  req.on('data', (chunk: Buffer) => {
-    size += chunk.length;
-    if (size <= BODY_LIMIT) chunks.push(chunk);
-  });
-  req.on('error', () => undefined);
-  req.on('end', () => {
-    try {
-      const message = size <= BODY_LIMIT ? decodeMessage(parsed(chunks)) : null;
-      if (!message) {
-        log.warn({ size }, 'a report of no valid form was refused');
-        answer(400, { error: 'not a report' });
-        return;
-      }
-      const reply = handlers.report(message);
-      answer(reply.status, reply.body);
-    } catch (error) {
-      log.error({ err: error }, 'a report failed');
-      if (!res.headersSent) answer(503, { error: 'cannot serve this now' });
-    }
-  });
-}
-
-function parsed(chunks: readonly Buffer[]): unknown {
+function parsed(body: Buffer): unknown {
   try {
-    return JSON.parse((chunks.length === 1 && chunks[0] ? chunks[0] : Buffer.concat(chunks)).toString('utf8'));
+    return JSON.parse(body.toString('utf8'));
   } catch {
-    return null;
+    return undefined;
   }
 }
 
-/** What the listener serves: reports at once, everything else through the router. */
-export const createHandler =
-  (app: Express, handlers: Handlers, log: Logger): ((req: IncomingMessage, res: ServerResponse) => void) =>
-  (req, res) => {
-    if (req.method === 'POST' && req.url === REPORT_PATH) serveReport(handlers, log, req, res);
-    else app(req, res);
+function answerReport(handlers: Handlers, log: Logger, body: unknown): ReportReply {
+  const message = decodeMessage(body);
+  if (message) return handlers.report(message);
+  log.warn('a report of no valid form was refused');
+  return { status: 400, body: { error: 'not a report' } };
+}
+
+const toLane = (answer: UserAnswer): LaneAnswer => ({
+  status: answer.status,
+  text: JSON.stringify(answer.body),
+  ...(answer.retryAfterS === undefined ? {} : { retryAfterS: answer.retryAfterS }),
+});
+const FAILED: UserAnswer = { status: 503, body: { error: 'cannot serve this now' }, retryAfterS: 1 };
+
+const POLL = /^\/v1\/jobs\/([^/?#%]+)$/;
+const CANCEL = /^\/v1\/jobs\/([^/?#%]+)\/cancel$/;
+
+/** What passes by the router: reports, polls, health, submissions and cancellations, as `createApp` answers them. */
+export function laneRoutes(handlers: Handlers, log: Logger): (head: RequestHead) => LaneHandler | undefined {
+  const guarded =
+    (serve: (head: RequestHead, body: Buffer) => UserAnswer | Promise<UserAnswer>): LaneHandler =>
+    (head, body) => {
+      const failed = (error: unknown): LaneAnswer => {
+        log.error({ err: error }, 'a request failed');
+        return toLane(FAILED);
+      };
+      try {
+        const answer = serve(head, body);
+        return answer instanceof Promise ? answer.then(toLane, failed) : toLane(answer);
+      } catch (error) {
+        return failed(error);
+      }
+    };
+  const report = guarded((_head, body) => answerReport(handlers, log, parsed(body)));
+  const submit = guarded((_head, body) => {
+    const submission = parseSubmission(parsed(body));
+    if (!submission.ok) return { status: 400, body: { error: submission.reason } };
+    return handlers.serve({ op: 'submit', spec: submission.spec });
+  });
+  const query = guarded((head) => handlers.serve({ op: 'query', id: POLL.exec(head.path)?.[1] ?? '' }));
+  const cancel = guarded((head) => handlers.serve({ op: 'cancel', id: CANCEL.exec(head.path)?.[1] ?? '' }));
+  const health = guarded(() =>
+    handlers.healthy() ? { status: 200, body: { ok: true } } : { status: 503, body: { ok: false }, retryAfterS: 1 },
+  );
+  return ({ method, path }) => {
+    if (method === 'POST') {
+      if (path === '/v1/report') return report;
+      if (path === '/v1/jobs') return submit;
+      return CANCEL.test(path) ? cancel : undefined;
+    }
+    if (path === '/healthz') return health;
+    return POLL.test(path) ? query : undefined;
   };
+}
 
+export interface Listener {
+  /** The port that it listens on. */
+  readonly ready: Promise<number>;
+  /** Ends it and every connection. */
+  shut(): void;
+}
+
+/** The listener: plain requests by the short way, everything else through the router. */
 export function listen(
-  handler: (req: IncomingMessage, res: ServerResponse) => void,
+  app: Express,
+  find: (head: RequestHead) => LaneHandler | undefined,
   port: number,
   host: string,
   maxConnections: number,
   log: Logger,
-): Server {
-  const server = createServer(handler);
-  server.keepAliveTimeout = 120_000;
-  server.headersTimeout = 125_000;
-  server.requestTimeout = 30_000;
-  server.maxConnections = maxConnections;
-  server.on('error', (error) => log.error({ err: error }, 'the listener failed'));
-  server.on('clientError', (_error, socket) => {
+): Listener {
+  // Never listens itself: it is given the connections that need it, and what they have sent so far.
+  const web = createWebServer(app);
+  web.keepAliveTimeout = IDLE_MS;
+  web.timeout = IDLE_MS;
+  web.on('clientError', (_error, socket) => {
     if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
     else socket.destroy();
   });
+  const sockets = new Set<Socket>();
+  const server = createServer({ allowHalfOpen: true, noDelay: true }, (socket) => {
+    sockets.add(socket);
+    socket.on('close', () => sockets.delete(socket));
+    Lane.serve(socket, find, BODY_LIMIT, (given, unread) => {
+      given.unshift(unread);
+      web.emit('connection', given);
+    });
+  });
+  server.maxConnections = maxConnections;
+  server.on('error', (error) => log.error({ err: error }, 'the listener failed'));
   server.listen(port, host);
-  return server;
+  return {
+    ready: new Promise((resolve) => {
+      server.once('listening', () => resolve((server.address() as AddressInfo).port));
+    }),
+    shut: () => {
+      server.close();
+      for (const socket of sockets) socket.destroy();
+    },
+  };
 }
--- a/src/service/index.ts
+++ b/src/service/index.ts
@@ -1,2 +1,2 @@
 export * from './service.js';
-export { createHandler, listen } from './http.js';
+export { createApp, laneRoutes, listen, type Handlers } from './http.js';
--- a/src/service/service.ts
+++ b/src/service/service.ts
@@ -1,5 +1,4 @@
 import { randomBytes } from 'node:crypto';
-import type { Server } from 'node:http';
 import { adminRouter, SettingsStore } from '../admin/index.js';
 import { CloudClient, type MachineType } from '../cloud/index.js';
 import type { Settings } from '../config/index.js';
@@ -20,7 +19,7 @@
 import { PeerLink, type PeerMessage, type Received, type ShardSummary } from '../peers/index.js';
 import { JOBS, LIVE, Mirror, shardKey, SHARDS, StateClient, TYPES, Urgency, type Change } from '../state/index.js';
 import { encodeRedirect, type WorkerMessage } from '../workers/index.js';
-import { createApp, createHandler, listen, type Handlers } from './http.js';
+import { createApp, laneRoutes, listen, type Handlers, type Listener } from './http.js';
 import { UserDesk } from './users.js';
 
 const SUMMARY_EVERY_MS = 800;
@@ -54,7 +53,7 @@
   private readonly rounds: ReconcileLoop;
   private readonly leaderRounds: ReconcileLoop;
   private readonly loops: ReconcileLoop[] = [];
-  private server: Server | undefined;
+  private server: Listener | undefined;
   private typesAt = 0;
 
   constructor(
@@ -154,7 +153,8 @@
     };
     const app = createApp(handlers, admin, log);
     const sockets = Math.max(50, Math.floor(settings.maxConnections * 0.7));
-    this.server = listen(createHandler(app, handlers, log), settings.serveOn.port, settings.serveOn.host, sockets, log);
+    const { host, port } = settings.serveOn;
+    this.server = listen(app, laneRoutes(handlers, log), port, host, sockets, log);
     void this.mirror.run();
     const session = new ReconcileLoop('session', this.membership.renewEveryMs, log, () => this.membership.keep());
     const claims = new ReconcileLoop('claims', 200, log, () => this.claims());
@@ -172,8 +172,7 @@
     for (const holder of this.holders.values()) holder.drop();
     this.mirror.stop();
     this.peers.stop();
-    this.server?.closeAllConnections();
-    this.server?.close();
+    this.server?.shut();
     this.state.close();
   }
 
