A node that hears no worker asks some, and hands its shards over within seconds

After 20 s it took itself for fit again, still cut off, and got the shard back. Change: a silence in which a dozen reports were due makes the node ask five machines; none answering, it is cut off (workers/reach.ts), lets writes under way come back, and hands the shard by name to the fit peer that holds least. Ruled out: workers that don't find the new holder; they did, too late.

--- a/src/holder/holder.ts
+++ b/src/holder/holder.ts
@@ -9,6 +9,7 @@
   millis,
   parseTaskKey,
   revision,
+  sleep,
   taskKey,
   type Attempt,
   type Clock,
@@ -76,6 +77,8 @@
   certain(): boolean;
   /** Something is to be done soon. */
   nudge(): void;
+  /** A worker has answered. */
+  heard(): void;
   /** Another shard that has room for this job now. */
   roomElsewhere(spec: JobSpec, count: number): ShardName | null;
 }
@@ -107,7 +110,8 @@
 const STOP_AGAIN_MS = 2500;
 const MOVE_AFTER_MS = 1200;
 const LEAVE_WITHIN_MS = 10_000;
-const BLIND_AFTER_MS = 4000;
+/** Writes that are under way when a shard is given up have so long to come back. */
+const SETTLE_WITHIN_MS = 2500;
 
 /**
  * Holds one shard: its open jobs and its block of machines. What is wanted comes from the state
@@ -197,6 +201,7 @@
       if (this.machines.has(info.id)) continue;
       const machine: HeldMachine = new HeldMachine(info, version, this.deps.clock, this.deps.log, this.whereabouts, {
         heard: () => {
+          this.deps.heard();
           this.sync(machine);
           this.soon();
         },
@@ -1120,18 +1125,6 @@
     this.soon();
   }
 
-  /** Most of the block is silent for reports and commands alike: more likely our network than theirs. */
-  get blind(): boolean {
-    const now = this.deps.clock.now();
-    if (this.machines.size < 2 || now - this.since < BLIND_AFTER_MS) return false;
-    let silent = 0;
-    for (const machine of this.machines.values()) {
-      const silentMs = now - machine.belief.lastHeardAt;
-      if (machine.courier.failures >= 1 && silentMs > 2.5 * this.deps.settings.workers.reportMs + 1500) silent += 1;
-    }
-    return silent > this.machines.size * 0.6;
-  }
-
   /** May the shard change hands without anybody noticing: everything in it is known and heard? */
   get quiet(): boolean {
     if (!this.fenced) return false;
@@ -1143,26 +1136,39 @@
     return true;
   }
 
+  private get writing(): boolean {
+    for (const machine of this.machines.values()) if ((machine.leaving?.since ?? 0) < 0) return true;
+    for (const run of this.jobs.values()) if (run.storing || run.moving) return true;
+    return false;
+  }
+
   /**
    * Gives the shard up by a write: from there on this node commands nothing and answers no report,
    * so whoever claims it counts the workers' leases from that write.
    */
-  async giveUp(why: string): Promise<boolean> {
+  async giveUp(why: string, to: NodeName | null = null): Promise<boolean> {
     if (this.frozen) return false;
-    for (const machine of this.machines.values()) if ((machine.leaving?.since ?? 0) < 0) return false;
-    for (const run of this.jobs.values()) if (run.storing || run.moving) return false;
+    this.frozen = true;
+    // Progress is written all the time: nothing new begins, and what is under way comes back first.
+    for (const until = this.deps.clock.now() + SETTLE_WITHIN_MS; this.writing && !this.dropped; await sleep(20)) {
+      if (this.deps.clock.now() < until) continue;
+      this.frozen = false;
+      return false;
+    }
     const own = this.deps.mirror.get(shardKey(this.shard));
     const value = own ? decodeShard(own.value) : null;
-    if (!own || !value || value.holder !== this.deps.self) return false;
-    this.frozen = true;
-    const next = encodeShard({ ...value, earlier: [...this.earlier.values()], released: true });
+    if (this.dropped || !own || !value || value.holder !== this.deps.self) {
+      this.frozen = false;
+      return false;
+    }
+    const next = encodeShard({ ...value, earlier: [...this.earlier.values()], released: true, next: to });
     const result = await this.deps.state.txn(
       Urgency.shard,
       [{ key: shardKey(this.shard), version: own.version }],
       [{ put: shardKey(this.shard), value: next }],
     );
     if (result.kind === 'ok') {
-      this.deps.log.info({ shard: this.shard, why }, 'giving a shard up');
+      this.deps.log.info({ shard: this.shard, why, to }, 'giving a shard up');
       this.deps.mirror.apply({ key: shardKey(this.shard), value: next, removed: false, version: result.revision });
       return true;
     }
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -174,6 +174,8 @@
 
   private delayFor(shard: ShardName, exists: boolean, value: ShardValue | null, now: Millis): number {
     if ((shard as string) === (this.self as string)) return 0;
+    // Its holder has handed it to this node.
+    if (value?.released === true && value.next === this.self) return 0;
     const home = shard as unknown as NodeName;
     // A shard that was never claimed waits for its own node's first start.
     if (!exists) return Math.max(0, FIRST_START_MS - (now - this.startedAt)) + RANK_DELAY_MS;
@@ -208,6 +210,7 @@
       holder: this.self,
       incarnation: this.incarnation,
       released: false,
+      next: null,
       earlier,
       machines: value?.machines ?? [],
     };
--- a/src/membership/shard.ts
+++ b/src/membership/shard.ts
@@ -30,6 +30,8 @@
   readonly incarnation: Incarnation;
   /** The holder gave it up by this very write and commands nothing any more. */
   readonly released: boolean;
+  /** Who should claim it at once after that; null: whoever finds it. */
+  readonly next: NodeName | null;
   /** Holders before this one that nobody has yet known to have stopped. */
   readonly earlier: readonly PreviousHolder[];
   readonly machines: readonly BlockMachine[];
@@ -43,6 +45,7 @@
   readonly holder: string;
   readonly incarnation: string;
   readonly released: boolean;
+  readonly next?: string;
   readonly earlier: readonly PreviousHolder[];
   readonly kinds: readonly {
     readonly type: string;
@@ -60,8 +63,9 @@
     if (!kind) kinds.set(key, (kind = { type, zone, spot, machines: [] }));
     kind.machines.push(`${id} ${address}`);
   }
-  const { holder, released, earlier } = value;
-  return { holder, incarnation: value.incarnation, released, earlier, kinds: [...kinds.values()] };
+  const { holder, released, earlier, next } = value;
+  const named = next === null ? {} : { next };
+  return { holder, incarnation: value.incarnation, released, ...named, earlier, kinds: [...kinds.values()] };
 }
 
 /**
@@ -92,6 +96,7 @@
   if (!isObject(value)) return null;
   const holder = asString(value['holder']);
   const life = asString(value['incarnation']);
+  const next = asString(value['next']);
   if (holder === undefined || life === undefined) return null;
   const machines: BlockMachine[] = [];
   for (const kind of asList(value['kinds'])) {
@@ -109,6 +114,7 @@
     holder: nodeName(holder),
     incarnation: incarnation(life),
     released: value['released'] === true,
+    next: next === undefined ? null : nodeName(next),
     earlier: decodeEarlier(value['earlier']),
     machines,
   };
--- a/src/service/service.ts
+++ b/src/service/service.ts
@@ -1,4 +1,4 @@
-import { randomBytes } from 'node:crypto';
+import { randomBytes, randomInt } from 'node:crypto';
 import { adminRouter, SettingsStore } from '../admin/index.js';
 import { CloudClient, type MachineType } from '../cloud/index.js';
 import type { Settings } from '../config/index.js';
@@ -8,6 +8,7 @@
   incarnation,
   ReconcileLoop,
   shardName,
+  sleep,
   systemClock,
   type JobId,
   type Logger,
@@ -18,14 +19,15 @@
 import { decodeShard, Membership, ShardDirectory } from '../membership/index.js';
 import { PeerLink, type PeerMessage, type Received, type ShardSummary } from '../peers/index.js';
 import { JOBS, LIVE, Mirror, shardKey, SHARDS, StateClient, TYPES, Urgency, type Change } from '../state/index.js';
-import { encodeRedirect, type WorkerMessage } from '../workers/index.js';
+import { encodeRedirect, probeWorkers, PROBES, Reach, type WorkerMessage } from '../workers/index.js';
 import { createApp, laneRoutes, listen, type Handlers, type Listener } from './http.js';
 import { UserDesk } from './users.js';
 
 const SUMMARY_EVERY_MS = 800;
 const SUMMARY_VALID_MS = 5000;
 const HAND_BACK_AFTER_MS = 3000;
-const UNFIT_MS = 20_000;
+/** While this node is cut off from the workers, it asks some again after so long. */
+const PROBE_AGAIN_MS = 800;
 const TYPES_EVERY_MS = 30_000;
 const REST_FACTOR = 20;
 
@@ -49,7 +51,7 @@
   private readonly homeSince = new Map<ShardName, number>();
   private readonly ownShard: ShardName;
   private types = new Map<string, MachineType>();
-  private unfitUntil = 0;
+  private readonly reach: Reach;
   private readonly rounds: ReconcileLoop;
   private readonly leaderRounds: ReconcileLoop;
   private readonly loops: ReconcileLoop[] = [];
@@ -61,6 +63,7 @@
     private readonly log: Logger,
   ) {
     const { clock } = this;
+    this.reach = new Reach(clock.now());
     this.ownShard = shardName(settings.node);
     this.state = new StateClient(settings.state, settings.stateLimits, log, clock);
     this.state.writers = settings.seeds.length + 1;
@@ -160,7 +163,8 @@
     const claims = new ReconcileLoop('claims', 200, log, () => this.claims());
     const summaries = new ReconcileLoop('summaries', SUMMARY_EVERY_MS, log, () => this.publish());
     const types = new ReconcileLoop('types', 500, log, () => this.learnTypes());
-    this.loops.push(session, claims, types, summaries, this.leaderRounds, this.rounds);
+    const reach = new ReconcileLoop('reach', 200, log, () => this.checkReach());
+    this.loops.push(session, claims, reach, types, summaries, this.leaderRounds, this.rounds);
     for (const loop of this.loops) loop.start();
     session.nudge();
     log.info({ serve: settings.serveOn, incarnation: this.incarnation }, 'wooddrift is up');
@@ -240,6 +244,7 @@
       heldUntil: () => this.membership.heldUntilAtLeast,
       certain: () => this.membership.certain,
       nudge: () => this.rounds.nudge(),
+      heard: () => this.reach.heard(),
       roomElsewhere: (spec, count) => this.roomElsewhere(spec, count),
     };
   }
@@ -250,7 +255,47 @@
   }
 
   private get fit(): boolean {
-    return this.clock.now() >= this.unfitUntil;
+    return this.reach.ok;
+  }
+
+  /** Of the peers that can serve a shard, the one that holds fewest. */
+  private fittestPeer(): NodeName | null {
+    const load = (node: NodeName): number => {
+      let held = 0;
+      for (const { value } of this.directory.all.values()) if (value.holder === node && !value.released) held += 1;
+      return held;
+    };
+    const fit = this.peers.names.filter((peer) => this.isFit(peer));
+    return fit.sort((a, b) => load(a) - load(b) || (a < b ? -1 : 1))[0] ?? null;
+  }
+
+  /** One round: are the workers within reach? */
+  private async checkReach(): Promise<void> {
+    let machines = 0;
+    for (const holder of this.holders.values()) machines += holder.machines.size;
+    const { reportMs } = this.settings.workers;
+    if (this.reach.look(this.clock.now(), machines, reportMs) === 'nothing') return;
+    const addresses = this.someAddresses();
+    const answered = await probeWorkers(addresses);
+    if (this.reach.probed(addresses.length, answered)) {
+      this.log.info(
+        { reachable: this.reach.ok, asked: addresses.length, answered },
+        this.reach.ok ? 'this node reaches the workers again' : 'this node is cut off from the workers',
+      );
+      this.peers.greet();
+    }
+    if (!this.reach.ok) await sleep(PROBE_AGAIN_MS);
+  }
+
+  /** Some machines of our blocks; of all, when we have none. */
+  private someAddresses(): string[] {
+    const known = [...this.directory.all].flatMap(([shard, { value }]) =>
+      this.holders.size === 0 || this.holders.has(shard) ? value.machines : [],
+    );
+    const chosen = new Set<string>();
+    for (let i = 0; i < PROBES && known.length > 0; i++) chosen.add(known[randomInt(known.length)]?.address ?? '');
+    chosen.delete('');
+    return [...chosen];
   }
 
   /** Reads afresh whether the shards are still ours; false when that could not be read. */
@@ -275,12 +320,9 @@
         if (heard !== null && heard !== life) holder.proven(node);
         else this.peers.send(node, { kind: 'standdown', shard, version: holder.claimedAt });
       }
-      const fitPeer = this.peers.names.some((peer) => this.isFit(peer));
-      if (holder.blind && fitPeer && holder.fenced) {
-        // Cut off from the workers: another node may reach them.
-        this.unfitUntil = now + UNFIT_MS;
-        this.peers.greet();
-        await holder.giveUp('this node cannot reach the workers');
+      const better = this.reach.ok ? null : this.fittestPeer();
+      if (better !== null) {
+        await holder.giveUp('this node cannot reach the workers', better);
         continue;
       }
       if (shard === this.ownShard) continue;
@@ -301,6 +343,7 @@
   // ---- workers
 
   private onReport(message: WorkerMessage): ReportReply {
+    this.reach.heard();
     for (const holder of this.holders.values()) {
       if (holder.machines.has(message.machine)) return holder.onReport(message);
     }
--- /dev/null
+++ b/src/workers/prober.ts
@@ -0,0 +1,19 @@
+import { HttpClient, parseAddress } from '../kernel/index.js';
+import { decodeMessage } from './wire.js';
+
+const TIMEOUT_MS = 1000;
+
+/** Asks some workers whether they are there, each on a connection of its own; tells how many answered. */
+export async function probeWorkers(addresses: readonly string[]): Promise<number> {
+  const answers = await Promise.all(
+    addresses.map(async (text): Promise<number> => {
+      const address = parseAddress(text);
+      if (!address) return 0;
+      const client = new HttpClient(address, 1);
+      const answer = await client.call({ method: 'GET', path: '/status', timeoutMs: TIMEOUT_MS });
+      client.close();
+      return answer.kind === 'answered' && decodeMessage(answer.body) ? 1 : 0;
+    }),
+  );
+  return answers.reduce((sum, n) => sum + n, 0);
+}
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -35,6 +35,7 @@
   holder: nodeName('n-0'),
   incarnation: incarnation('a'),
   released: false,
+  next: null,
   earlier: [],
   machines: [],
   ...over,
