Large gangs collect what comes free; gangs are rented for beyond the flow

Change: 40 s before its next aim a gang without room keeps what is free from other gangs; arrays that give way use it meanwhile.

--- a/src/leasing/plan.ts
+++ b/src/leasing/plan.ts
@@ -189,12 +189,15 @@
 
   const uncut = wants.map((want) => ({ ...want }));
   holdBack(wants, input, input.patience);
+  // What is there serves gangs whether or not anything is rented for them.
+  const gangs = uncut.filter((want) => want.spec.kind === 'gang').map((want) => ({ ...want }));
+  awaitFree(wants, input);
 
   // Idle accelerators whose cpus are lent out follow work that needs accelerators: the loan is called in.
   for (const { machine, shard } of stillIdle) {
     const type = input.types.get(machine.type);
     if (machine.empty || !type || type.gpus <= 0 || machine.idleMs < CALL_IN_MS) continue;
-    const needy = wants.filter((want) => want.spec.gpus > 0 && want.slackS < CALL_IN_SLACK_S);
+    const needy = gangs.filter((want) => want.spec.gpus > 0 && want.slackS < CALL_IN_SLACK_S);
     const supply = supplyOf(type, machine.zone, machine.spot);
     const to = bestShard(needy, supply);
     if (to === null) continue;
@@ -238,7 +241,7 @@
     return needs.filter((need) => need.slots > 0);
   };
 
-  const anyWant = wants.some((want) => want.slots > 0);
+  const waiting = [...wants, ...gangs].filter((want) => want.slots > 0);
   const released = new Set<MachineId>();
   let looks = 0;
   const longIdle = stillIdle
@@ -249,11 +252,7 @@
     if (released.size >= Math.max(2, longIdle.length * RELEASE_SHARE) || looks >= RELEASE_LOOKS) break;
     const supply = input.types.get(machine.type);
     if (!supply) continue;
-    if (
-      anyWant &&
-      wants.some((w) => w.slots > 0 && allowedKind(w.spec, machine) && (w.spec.gpus > 0 || machine.freeGpus < EPSILON))
-    )
-      continue;
+    if (waiting.some((w) => allowedKind(w.spec, machine) && (w.spec.gpus > 0 || machine.freeGpus < EPSILON))) continue;
     if (machine.freeGpus < EPSILON && !machine.spot) {
       looks += 1;
       if (lacking(room(new Set([...released, machine.id]))).length > 0) continue;
@@ -302,6 +301,53 @@
   }
 }
 
+/** Of what gangs leave behind in a time, so much can be counted on: it comes by and by and not all in one block. */
+const COUNTED_ON = 0.7;
+/** A gang that has missed its aims is worth renting for only beyond what comes free in this time. */
+const LATE_GANG_S = 30;
+
+/**
+ * Gangs come and go: the machines of those that end serve the next ones. How many tasks of gangs wait
+ * beyond what comes free until their aims, earliest aim first; only for those something is rented.
+ */
+export function beyondFlow(
+  gangs: readonly { readonly tasks: number; readonly slackS: number }[],
+  tasksPerS: number,
+): number {
+  let ahead = 0;
+  let beyond = 0;
+  for (const gang of [...gangs].sort((a, b) => a.slackS - b.slackS)) {
+    ahead += gang.tasks;
+    const withinS = gang.slackS < 0 ? LATE_GANG_S : gang.slackS;
+    beyond = Math.max(beyond, ahead - tasksPerS * withinS * COUNTED_ON);
+  }
+  return Math.max(0, Math.ceil(beyond));
+}
+
+function awaitFree(wants: readonly Want[], input: LeaseInput): void {
+  const gangs = wants.filter((want) => want.spec.kind === 'gang' && want.slots > 0);
+  if (gangs.length === 0) return;
+  let tasksPerS = 0;
+  for (const shard of input.shards) {
+    for (const r of shard.running) {
+      const spec = input.specOf(r.job);
+      if (spec?.kind === 'gang' && spec.gpus > 0) tasksPerS += r.running / Math.max(10, spec.estimateS);
+    }
+  }
+  // Gangs without accelerators share their machines with everything else: they are not counted on.
+  const flowing = gangs.filter((want) => want.spec.gpus > 0);
+  let beyond = beyondFlow(
+    flowing.map((want) => ({ tasks: want.slots, slackS: want.slackS })),
+    tasksPerS,
+  );
+  // Those with the nearest aims wait for what comes free; what is rented now is up for the others.
+  for (const want of flowing.sort((a, b) => b.slackS - a.slackS)) {
+    const slots = Math.min(want.slots, beyond);
+    beyond -= slots;
+    want.slots = slots;
+  }
+}
+
 /** Boot and image on the kind that works soonest. */
 function leadOf(spec: JobSpec, input: LeaseInput): number {
   let lead = Infinity;
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -271,6 +271,23 @@
   }
 }
 
+/** This close to its next aim, a gang without room collects what comes free. */
+const COLLECT_S = 40;
+
+/** Smaller gangs come and go while a large one never finds enough at once: it must be able to collect. */
+const collects = (job: PendingJob): boolean =>
+  job.spec.kind === 'gang' && job.slackS < COLLECT_S && job.slackS >= 0 && !job.spec.spread;
+
+/** Rooms that a collecting gang could use now, no more than it needs: nothing else of its sort takes them. */
+function collect(job: PendingJob, candidates: readonly Room[], collected: Set<Room>): void {
+  const free = candidates.filter((room) => fits(job.spec, room));
+  const inZone = new Map<string, number>();
+  for (const { view } of free) inZone.set(view.zone, (inZone.get(view.zone) ?? 0) + 1);
+  const most = [...inZone].sort((a, b) => b[1] - a[1] || (a[0] < b[0] ? -1 : 1))[0]?.[0];
+  const here = job.spec.oneZone ? free.filter(({ view }) => view.zone === most) : free;
+  for (const room of here.slice(0, job.ready.length)) collected.add(room);
+}
+
 const NOWHERE_ELSE = (): boolean => false;
 
 export function planPlacement(input: PlanInput): Plan {
@@ -317,6 +334,8 @@
   /** Kinds for which nothing could be stopped either, and the smallest such gang. */
   const hopeless = new Set<string>();
   const hopelessGang = new Map<string, number>();
+  /** What waits here for the rest of a gang. Work that gives way may use it meanwhile. */
+  const collected = new Set<Room>();
   for (const job of [...input.pending].sort(pendingOrder)) {
     const { spec } = job;
     const kind = kindOf(spec);
@@ -327,7 +346,11 @@
         unplaced.push({ job: spec.id, count: job.ready.length });
       continue;
     }
-    const candidates = rooms.filter((room) => allowedKind(spec, room.view) && !job.avoid.has(room.view.id));
+    const mayUse = (room: Room): boolean =>
+      collected.size === 0 || !collected.has(room) || (spec.kind === 'array' && spec.gpus <= 0);
+    const candidates = rooms.filter(
+      (room) => allowedKind(spec, room.view) && !job.avoid.has(room.view.id) && mayUse(room),
+    );
     if (spec.kind === 'gang') {
       if (!withinLimit(spec, job.ready.length)) continue;
       const placed = placeGang(job, candidates);
@@ -339,6 +362,7 @@
         }
       } else if (!preemptForGang(job, candidates, stopped, stops)) {
         unplaced.push({ job: spec.id, count: job.ready.length });
+        if (collects(job)) collect(job, candidates, collected);
         if (!placed && job.avoid.size === 0 && !spec.spread)
           hopelessGang.set(kind, Math.min(job.ready.length, hopelessGang.get(kind) ?? Infinity));
       }
