Arrays that nobody has named a time for fill what is idle

Change: they come last in their priority, and something is rented only for what would take a quarter of an hour.

--- a/src/holder/holder.ts
+++ b/src/holder/holder.ts
@@ -106,6 +106,9 @@
 const LOOK_ELSEWHERE_EVERY_MS = 1500;
 /** An array is through with its slowest task: how much longer that runs than the median. */
 const LAST_TASK = 1.3;
+/** Within what time jobs of classes without an aim are to be through, or started. */
+const AIMLESS_ARRAY_S = 900;
+const AIMLESS_S = 120;
 const LOOK_ELSEWHERE_AT_ONCE = 2;
 /** Each move is a write: a swarm of small jobs must not spend what accepting and finishing them needs. */
 const MOVES_EVERY_MS = 400;
@@ -806,7 +809,7 @@
   }
 
   /** Seconds until the job misses its next and its last aim, by its deadline or its class's aims. */
-  private slackOf(run: JobRun): { slackS: number; lastSlackS: number } {
+  private slackOf(run: JobRun): { slackS: number; lastSlackS: number; aimed: boolean } {
     const { spec } = run;
     const sinceS = (this.deps.clock.wall() - run.submittedAt) / 1000;
     const runS = run.expectedRunS * (spec.kind === 'array' && spec.tasks > 1 ? LAST_TASK : 1);
@@ -818,11 +821,13 @@
         if (o.kind === 'wait') times.push(o.withinS);
         if (o.kind === 'finished') times.push(o.withinS - runS);
       }
-      if (times.length === 0) times.push(120);
     }
+    const aimed = times.length > 0;
+    // Arrays that nobody has named a time for fill what is idle; everything else starts soon.
+    if (!aimed) times.push(spec.kind === 'array' ? AIMLESS_ARRAY_S : AIMLESS_S);
     const ahead = times.map((t) => t - sinceS).filter((t) => t >= 0);
     const lastSlackS = Math.max(...times) - sinceS;
-    return { slackS: ahead.length > 0 ? Math.min(...ahead) : lastSlackS, lastSlackS };
+    return { slackS: ahead.length > 0 ? Math.min(...ahead) : lastSlackS, lastSlackS, aimed };
   }
 
   private workOf(run: JobRun): number {
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -54,6 +54,8 @@
   readonly slackS: number;
   /** Seconds until it misses the last of them; below zero it can't be in time any more. */
   readonly lastSlackS: number;
+  /** Somebody has named a time for it: a deadline, or an aim of its class. */
+  readonly aimed: boolean;
   /** Work that is left, in cpu-seconds. */
   readonly workS: number;
 }
@@ -124,9 +126,11 @@
 /**
  * Under too much load, earliest-due-first makes everything late. So jobs with a deadline go by
  * slack, all others by the work that is left: short jobs are through before long ones notice.
- * A long job's turn comes shortly before its last aim; what is late for every aim goes last.
+ * A long job's turn comes shortly before its last aim; then comes what is late for every aim, and last
+ * what nobody has named a time for.
  */
 function rank(job: PendingJob): number {
+  if (!job.aimed) return 2e9 + job.workS;
   if (job.lastSlackS < 0) return 1e9 + job.workS;
   if (job.spec.deadlineS !== null) return job.slackS;
   return job.lastSlackS < URGENT_S ? job.lastSlackS - URGENT_S : job.workS / 16;
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -44,6 +44,7 @@
     avoid: new Set<MachineId>(),
     slackS: 60,
     lastSlackS: 60,
+    aimed: true,
     workS: 10,
     ...over,
   };
@@ -260,6 +261,7 @@
     pending(spec({ id: 'j-late' }), { workS: 1, slackS: -9, lastSlackS: -9 }),
     pending(spec({ id: 'j-short' }), { workS: 20 }),
     pending(spec({ id: 'j-urgent' }), { workS: 900, lastSlackS: 10 }),
+    pending(spec({ id: 'j-whenever' }), { workS: 1, lastSlackS: 900, aimed: false }),
   ];
   const plan = planPlacement(input([machine('m0', { freeCpus: 3 })], jobs));
   assert.deepEqual(
