A job that fails wherever it is tried pauses, comes last and condemns no machine

Change: after failures on three machines, none of its tasks having run for ten seconds, a job pauses (doubling to a minute, with jitter), comes last, starts one task, has nothing stopped, moved or rented, and its machines are absolved. Gangs and services keep their place through bad machines once a task has run. The next holder of a shard learns which machines are faulty. Tests: test/suspects.test.ts.

--- a/src/holder/holder.ts
+++ b/src/holder/holder.ts
@@ -75,6 +75,8 @@
   heldUntil(): Millis;
   /** True while nobody else can have claimed our shards, whatever the watch has not shown yet. */
   certain(): boolean;
+  /** Between 0 and 1, for pauses that must not fall together. */
+  random(): number;
   /** Something is to be done soon. */
   nudge(): void;
   /** A worker has answered. */
@@ -156,6 +158,8 @@
     readonly claimedAt: Revision,
     value: ShardValue,
     previous: readonly PreviousHolder[],
+    /** Machines that the holder before took for faulty. */
+    faulty: readonly MachineId[],
     private readonly deps: HolderDeps,
   ) {
     const now = deps.clock.now();
@@ -167,6 +171,7 @@
     this.proof = previous.length === 0 ? now : null;
     this.syncBlock(value, claimedAt);
     for (const id of this.machines.keys()) this.claimFence.add(id);
+    for (const id of faulty) this.machines.get(id)?.condemn(now);
     for (const entry of deps.mirror.under(JOBS)) {
       this.onJob({ key: entry.key, value: entry.value, removed: false, version: entry.version });
     }
@@ -457,20 +462,38 @@
       this.soon();
     }
     if (listed.why === 'error') {
-      run.errors += 1;
-      run.errorMachines.add(machine.id);
-      run.keepOff(machine.id, now);
-      if (run.failsEverywhere) {
-        run.notBefore = millis(now + Math.min(30_000, 1000 * 2 ** Math.min(5, run.errors - 3)));
-      } else machine.noteFailure(run.id, now);
-      this.deps.log.info({ job: run.id, index, machine: machine.id, faulty: machine.faulty(now) }, 'a task failed');
+      this.onFailure(machine, run, index, now);
     }
     if (listed.why === 'no-room' || listed.why === 'busy') machine.coolUntil = millis(now + 1000);
     if (listed.why === 'unknown') run.notBefore = millis(now + 1000);
     if (active) this.release(machine, run, active, listed.why ?? 'exited');
   }
 
+  /** Either the machine is at fault or the job: who fails wherever it is tried condemns nobody. */
+  private onFailure(machine: HeldMachine, run: JobRun, index: number, now: Millis): void {
+    const before = run.failsEverywhere;
+    run.noteError(machine.id, now, this.deps.random());
+    if (run.failsEverywhere) {
+      if (before) return;
+      for (const id of run.errorMachines) this.machines.get(id)?.absolve(run.id);
+      this.deps.log.info(
+        { job: run.id, machines: [...run.errorMachines] },
+        'a job fails wherever it is tried: it is tried again now and then, behind everything else',
+      );
+      return;
+    }
+    const known = machine.faulty(now);
+    machine.noteFailure(run.id, now);
+    this.deps.log.debug({ job: run.id, index, machine: machine.id }, 'a task failed');
+    if (!known && machine.faulty(now))
+      this.deps.log.info(
+        { machine: machine.id, job: run.id },
+        'a machine fails what is started there: nothing new goes there',
+      );
+  }
+
   private release(machine: HeldMachine, run: JobRun, active: ActiveTask, why: string): void {
+    run.noteRunning(active, this.deps.clock.now());
     run.active.delete(active.index);
     machine.active.delete(taskKey(run.id, active.index));
     this.deps.log.debug({ job: run.id, index: active.index, machine: machine.id, why }, 'a task is off its machine');
@@ -877,7 +900,8 @@
       // starts it at once, on machines that we might still command.
       if (!this.deps.certain() && run.born > this.deps.mirror.seenUpTo) continue;
       if (run.spec.kind === 'gang' && run.active.size > 0) continue;
-      const ready = run.ready(run.spec.kind === 'gang' ? run.spec.tasks : MAX_READY);
+      const most = run.failsEverywhere ? 1 : MAX_READY;
+      const ready = run.ready(run.spec.kind === 'gang' ? run.spec.tasks : most);
       if (ready.length === 0) {
         run.unplacedSince = null;
         continue;
@@ -891,6 +915,7 @@
         avoid: run.avoided(now),
         ...this.slackOf(run),
         workS: this.workOf(run),
+        suspect: run.failsEverywhere,
       });
     }
     if (pending.length === 0) {
@@ -973,7 +998,8 @@
     this.demand = [];
     for (const { job, count } of unplaced) {
       const run = this.jobs.get(job);
-      if (!run) continue;
+      // Nothing is rented and nothing is moved for a job that fails wherever it is tried.
+      if (!run || run.failsEverywhere) continue;
       run.unplacedSince ??= now;
       // A moment's wait is a command on its way, not a lack of machines.
       if (now - run.unplacedSince < 150) continue;
--- a/src/holder/index.ts
+++ b/src/holder/index.ts
@@ -1,1 +1,3 @@
 export * from './holder.js';
+export { HeldMachine } from './machine.js';
+export { JobRun } from './run.js';
--- a/src/holder/machine.ts
+++ b/src/holder/machine.ts
@@ -26,7 +26,7 @@
   readonly seenExits = new Map<TaskKey, number>();
   readonly stopSentAt = new Map<TaskKey, Millis>();
   private images: string[] = [];
-  private readonly failures: Failure[] = [];
+  private failures: Failure[] = [];
   private slowness = 1;
   private runs = 0;
   noticeUntil: Millis | null = null;
@@ -71,6 +71,16 @@
     if (this.failures.length > 50) this.failures.shift();
   }
 
+  /** The job was at fault. */
+  absolve(job: JobId): void {
+    this.failures = this.failures.filter((failure) => failure.job !== job);
+  }
+
+  /** Its last holder took it for faulty; that is forgotten like failures of our own. */
+  condemn(now: Millis): void {
+    for (const nth of ['1', '2', '3']) this.failures.push({ job: `earlier-${nth}` as JobId, at: now });
+  }
+
   /** A completed task's run time against its siblings'. */
   noteRun(ratio: number): void {
     this.runs += 1;
--- a/src/holder/run.ts
+++ b/src/holder/run.ts
@@ -26,6 +26,10 @@
 }
 
 const KEEP_OFF_MS = 60_000;
+const SUSPECT_AFTER = 3;
+const PROVEN_MS = 10_000;
+const FIRST_PAUSE_MS = 2000;
+const MOST_PAUSE_MS = 60_000;
 const MAX_RUNS = 100;
 const NONE: ReadonlySet<MachineId> = new Set();
 
@@ -41,8 +45,10 @@
   lastStoredAt: Millis;
   startedAt: Millis | null = null;
   readonly errorMachines = new Set<MachineId>();
-  errors = 0;
   notBefore: Millis;
+  /** How often in a row it was tried again and failed. */
+  private strikes = 0;
+  private proven = false;
   readonly restarted = new Set<number>();
   readonly finishedRunsS: number[] = [];
   private typical: number | null = null;
@@ -107,9 +113,28 @@
     return running;
   }
 
-  /** A job that fails on several machines and has never finished a task is itself at fault. */
+  /**
+   * A job that fails on several machines, and none of whose tasks has ever run for a while, is itself at
+   * fault: it is tried again now and then, when nothing else wants the room.
+   */
   get failsEverywhere(): boolean {
-    return this.errorMachines.size >= 3 && this.done.count === 0;
+    return !this.proven && this.errorMachines.size >= SUSPECT_AFTER && this.done.count === 0;
+  }
+
+  /** What runs for a while has no mistake that shows at the start. */
+  noteRunning(task: ActiveTask, now: Millis): void {
+    if (task.runningAt !== null && now - task.runningAt >= PROVEN_MS) this.proven = true;
+  }
+
+  /** A task of it has failed. All that fail in one go count as one try; `luck` is between 0 and 1. */
+  noteError(machine: MachineId, now: Millis, luck: number): void {
+    this.errorMachines.add(machine);
+    this.keepOff(machine, now);
+    for (const task of this.active.values()) this.noteRunning(task, now);
+    if (!this.failsEverywhere || now < this.notBefore) return;
+    const pauseMs = Math.min(MOST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** this.strikes);
+    this.strikes += 1;
+    this.notBefore = millis(now + pauseMs * (0.75 + luck / 2));
   }
 
   /** After a failure or a restart: a machine that fails everything at once always has room. */
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -56,6 +56,8 @@
   readonly lastSlackS: number;
   /** Somebody has named a time for it: a deadline, or an aim of its class. */
   readonly aimed: boolean;
+  /** It has failed wherever it was tried: last of all, and nothing gives way to it. */
+  readonly suspect: boolean;
   /** Work that is left, in cpu-seconds. */
   readonly workS: number;
 }
@@ -138,6 +140,7 @@
 
 /** Services first, then by priority, then what can still be in time. */
 export function pendingOrder(a: PendingJob, b: PendingJob): number {
+  if (a.suspect !== b.suspect) return a.suspect ? 1 : -1;
   const service = Number(b.spec.kind === 'service') - Number(a.spec.kind === 'service');
   if (service !== 0) return service;
   if (a.spec.priority !== b.spec.priority) return b.spec.priority - a.spec.priority;
@@ -280,7 +283,7 @@
 
 /** Smaller gangs come and go while a large one never finds enough at once: it must be able to collect. */
 const collects = (job: PendingJob): boolean =>
-  job.spec.kind === 'gang' && job.slackS < COLLECT_S && job.slackS >= 0 && !job.spec.spread;
+  !job.suspect && job.spec.kind === 'gang' && job.slackS < COLLECT_S && job.slackS >= 0 && !job.spec.spread;
 
 /** Rooms that a collecting gang could use now, no more than it needs: nothing else of its sort takes them. */
 function collect(job: PendingJob, candidates: readonly Room[], collected: Set<Room>): void {
@@ -364,7 +367,7 @@
           charge(spec);
           starts.push({ job: spec.id, index, machine: room.view.id });
         }
-      } else if (!preemptForGang(job, candidates, stopped, stops)) {
+      } else if (job.suspect || !preemptForGang(job, candidates, stopped, stops)) {
         unplaced.push({ job: spec.id, count: job.ready.length });
         if (collects(job)) collect(job, candidates, collected);
         if (!placed && job.avoid.size === 0 && !spec.spread)
@@ -456,7 +459,7 @@
 ): number {
   const { spec } = job;
   // Arrays wait: measured, each stop costs more in saving and starting again than it wins.
-  if (spec.kind === 'array' && spec.priority < Priority.high) return 0;
+  if (job.suspect || (spec.kind === 'array' && spec.priority < Priority.high)) return 0;
   let coming = 0;
   const rooms = [...candidates].sort((a, b) => b.coming.cpus + b.cpus - (a.coming.cpus + a.cpus));
   for (const room of rooms) {
--- a/src/service/service.ts
+++ b/src/service/service.ts
@@ -218,7 +218,9 @@
     } else if (holder) holder.onShard(value, change.version);
     else {
       const previous = this.membership.previousOf(shard);
-      this.holders.set(shard, new ShardHolder(shard, change.version, value, previous, this.holderDeps()));
+      const last = this.summaries.get(shard)?.summary.machines ?? [];
+      const faulty = last.filter((machine) => machine.faulty).map((machine) => machine.id);
+      this.holders.set(shard, new ShardHolder(shard, change.version, value, previous, faulty, this.holderDeps()));
       this.rounds.nudge();
     }
   }
@@ -243,6 +245,7 @@
       operator: () => this.settingsStore.current,
       heldUntil: () => this.membership.heldUntilAtLeast,
       certain: () => this.membership.certain,
+      random: () => Math.random(),
       nudge: () => this.rounds.nudge(),
       heard: () => this.reach.heard(),
       roomElsewhere: (from, spec, count) => this.roomElsewhere(from, spec, count),
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -45,6 +45,7 @@
     slackS: 60,
     lastSlackS: 60,
     aimed: true,
+    suspect: false,
     workS: 10,
     ...over,
   };
--- /dev/null
+++ b/test/suspects.test.ts
@@ -0,0 +1,117 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { spec } from './standins/jobs.js';
+import { HeldMachine, JobRun } from '../src/holder/index.js';
+import { Bits, createLogger, jobId, machineId, millis, revision, shardName, wallMillis } from '../src/kernel/index.js';
+import { planPlacement, type MachineView, type PendingJob } from '../src/placement/index.js';
+import { Whereabouts } from '../src/workers/index.js';
+
+const run = (over: Parameters<typeof spec>[0]): JobRun => {
+  const job = spec(over);
+  const record = { spec: job, shard: shardName('s'), submittedAt: wallMillis(0), done: new Bits(job.tasks) };
+  return new JobRun(record, revision(1), revision(1), millis(0));
+};
+const m = (n: number): ReturnType<typeof machineId> => machineId(`m-${n}`);
+
+test('a job that fails wherever it is tried pauses longer each time, counted once for all that fail together', () => {
+  const job = run({ id: 'j-1', tasks: 60 });
+  const pauses: number[] = [];
+  let now = 0;
+  for (let round = 0; round < 8; round++) {
+    for (let task = 0; task < 20; task++) job.noteError(m(task), millis(now), 0.5);
+    pauses.push(job.notBefore - now);
+    now = job.notBefore;
+  }
+  assert.ok(job.failsEverywhere);
+  assert.deepEqual(pauses, [2000, 4000, 8000, 16_000, 32_000, 60_000, 60_000, 60_000]);
+  // After early bad luck it still finishes, and is like any other from then on.
+  job.markDone(0);
+  assert.equal(job.failsEverywhere, false);
+});
+
+test('bad machines make no suspect of a job whose tasks have run for a while', () => {
+  // A service on its third faulty machine must keep its place: it never finishes a task.
+  const job = run({ id: 'j-1', kind: 'service', tasks: 2 });
+  const task = { index: 0, machine: m(9), attempt: 1, orderedAt: millis(0), state: 'running', stopping: null } as const;
+  job.active.set(0, { ...task, runningAt: millis(0) } as never);
+  for (let i = 0; i < 3; i++) job.noteError(m(i), millis(11_000), 0.5);
+  assert.equal(job.failsEverywhere, false);
+  const young = run({ id: 'j-2', kind: 'service', tasks: 2 });
+  for (let i = 0; i < 3; i++) young.noteError(m(i), millis(11_000), 0.5);
+  assert.ok(young.failsEverywhere);
+});
+
+test('a machine is condemned by several jobs, absolved when the job was at fault, and handed on as faulty', () => {
+  const clock = { now: () => millis(0), wall: () => wallMillis(0) };
+  const info = { id: m(1), type: 't', zone: 'z', spot: false, address: '' };
+  const hooks = { heard: (): void => undefined, superseded: (): void => undefined };
+  const machine = new HeldMachine(info, revision(1), clock, createLogger('silent', 't'), new Whereabouts(), hooks);
+  for (let i = 0; i < 3; i++) machine.noteFailure(jobId('j-bad'), millis(1));
+  assert.ok(machine.faulty(millis(1)));
+  machine.absolve(jobId('j-bad'));
+  assert.equal(machine.faulty(millis(1)), false);
+  machine.noteFailure(jobId('j-1'), millis(1));
+  machine.noteFailure(jobId('j-2'), millis(1));
+  assert.ok(machine.faulty(millis(1)));
+  machine.absolve(jobId('j-1'));
+  machine.absolve(jobId('j-2'));
+  machine.condemn(millis(5));
+  assert.ok(machine.faulty(millis(5)));
+  assert.equal(machine.faulty(millis(400_000)), false);
+});
+
+test('nothing gives way to a job that fails wherever it is tried, and it comes after all others', () => {
+  const view: MachineView = {
+    id: m(1),
+    type: 'small',
+    zone: 'a',
+    spot: false,
+    cpus: 1,
+    gpus: 0,
+    memoryGb: 8,
+    freeCpus: 1,
+    freeGpus: 0,
+    freeMemoryGb: 8,
+    usable: true,
+    images: [],
+    fetchGbPerS: 1,
+    fetching: 0,
+    cpuPrice: 0.1,
+    suspicion: 0,
+    running: [],
+  };
+  const pending = (over: Partial<PendingJob>, job: Parameters<typeof spec>[0]): PendingJob => ({
+    spec: spec({ ...job, tasks: 1 }),
+    ready: [0],
+    zoneUse: new Map(),
+    machineUse: new Map(),
+    avoid: new Set(),
+    slackS: 60,
+    lastSlackS: 60,
+    aimed: true,
+    suspect: false,
+    workS: 1,
+    ...over,
+  });
+  const plan = (machine: MachineView, jobs: PendingJob[]): ReturnType<typeof planPlacement> =>
+    planPlacement({ machines: [machine], pending: jobs, teams: new Map(), maxStarts: 10, reserve: null });
+  const suspect = pending({ suspect: true }, { id: 'j-1', kind: 'service', priority: 3 });
+  const low = pending({}, { id: 'j-2', priority: 0 });
+  assert.deepEqual(
+    plan(view, [suspect, low]).starts.map((s) => s.job),
+    ['j-2'],
+  );
+  const busy = {
+    job: jobId('j-3'),
+    index: 0,
+    priority: 0 as const,
+    cpus: 1,
+    gpus: 0,
+    memoryGb: 1,
+    lossS: 0,
+    stopping: false,
+  };
+  const full = { ...view, freeCpus: 0, running: [busy] };
+  assert.equal(plan(full, [suspect]).stops.length, 0);
+  assert.equal(plan(full, [{ ...suspect, suspect: false }]).stops.length, 1);
+});
