--- a/src/leasing/routing.ts
+++ b/src/leasing/routing.ts
@@ -113,8 +113,13 @@
   const rooms = others.map((summary) => roomFor(spec, summary, types));
   const roomy = rooms.filter((room) => room.slots >= Math.min(count, spec.tasks)).sort((a, b) => b.slots - a.slots)[0];
   if (roomy && roomy.slots > 0) return roomy.shard;
-  if (!here || spec.kind !== 'array') return null;
-  const own = roomFor(spec, here, types).waiting;
+  if (!here || spec.kind === 'service') return null;
+  const { waiting: own, machines } = roomFor(spec, here, types);
+  if (spec.kind === 'gang') {
+    // Where there are too few machines of its kind, it would wait for ever: it goes where enough are.
+    const most = rooms.sort((a, b) => b.machines - a.machines)[0];
+    return machines < spec.tasks && most && most.machines >= spec.tasks ? most.shard : null;
+  }
   const shortest = rooms.filter((room) => room.machines > 0).sort((a, b) => a.waiting - b.waiting)[0];
   return shortest && shortest.waiting + SHORTER_BY_S < own ? shortest.shard : null;
 }
--- a/test/leasing.test.ts
+++ b/test/leasing.test.ts
@@ -219,6 +219,10 @@
     );
   assert.equal(better(30, 2), 'n-1');
   assert.equal(better(6, 5), null);
+  const gang = spec({ id: 'j-g', kind: 'gang', tasks: 2 });
+  const two = shard('n-1', [full, { ...full, id: machineId('m-3') }]);
+  assert.equal(betterShard(gang, 2, shard('n-0', [full]), [two], types), 'n-1');
+  assert.equal(betterShard(gang, 2, two, [shard('n-0', [full])], types), null);
   // Until the next summary, what was sent there waits there.
   const booked = bookRoom(job, calm);
   assert.equal(booked.demand.at(-1)?.missing, 8);
