--- a/src/leasing/leader.ts
+++ b/src/leasing/leader.ts
@@ -22,7 +22,7 @@
 import type { PeerMessage, ShardSummary } from '../peers/index.js';
 import { jobKey, JOBS, LEADER, shardKey, Urgency, type Mirror, type StateClient } from '../state/index.js';
 import type { WorkerMessage } from '../workers/index.js';
-import { kindKey, planLeases, type LooseMachine } from './plan.js';
+import { inCalls, kindKey, planLeases, type LooseMachine, type RentWish } from './plan.js';
 
 export interface LeaderDeps {
   readonly self: NodeName;
@@ -345,19 +345,18 @@
     }
   }
 
-  private async rent(
-    wishes: readonly { type: string; zone: string; spot: boolean; count: number }[],
-    term: Revision,
-  ): Promise<void> {
+  private async rent(wishes: readonly RentWish[], term: Revision): Promise<void> {
     if (this.renting) return;
     this.renting = true;
     try {
-      for (const wish of wishes) {
+      // A wish for more than a call may ask for takes several; kinds take turns when calls are scarce.
+      for (const wish of inCalls(wishes)) {
+        if (this.refused.has(kindKey(wish.type, wish.zone, wish.spot))) continue;
         if (!this.deps.cloud.mayCall() || this.deps.leading() !== term) return;
         this.requests += 1;
         // The term is a revision and the number grows: no name is ever used twice.
         const name = `w${term}-${this.requests}`;
-        const result = await this.deps.cloud.rent({ ...wish, name, count: Math.min(50, wish.count) });
+        const result = await this.deps.cloud.rent({ ...wish, name });
         const now = this.deps.clock.now();
         if (result.kind === 'rented') {
           for (const id of result.ids) this.learn(id, wish.type, wish.zone, wish.spot, now);
--- a/src/leasing/plan.ts
+++ b/src/leasing/plan.ts
@@ -274,6 +274,25 @@
   return { grants, transfers, rents: [...rents.values()], releases };
 }
 
+/** The cloud rents at most so many machines in one call. */
+const MOST_A_CALL = 50;
+
+/**
+ * Wishes as calls to the cloud. Seen when a day began with a backlog: a wish for three hundred was asked
+ * as one call of fifty, and as fifty came, the kind was taken for sold out.
+ */
+export function inCalls(wishes: readonly RentWish[]): RentWish[] {
+  const calls: RentWish[] = [];
+  const most = Math.max(0, ...wishes.map((wish) => wish.count));
+  for (let done = 0; done < most; done += MOST_A_CALL) {
+    for (const wish of wishes) {
+      const count = Math.min(MOST_A_CALL, wish.count - done);
+      if (count > 0) calls.push({ ...wish, count });
+    }
+  }
+  return calls;
+}
+
 /** Machines that stand idle follow any demand; new ones are rented only for what would be late. */
 function holdBack(wants: readonly Want[], input: LeaseInput, patience: number): void {
   let runningCpus = 0;
--- a/test/leasing.test.ts
+++ b/test/leasing.test.ts
@@ -9,10 +9,12 @@
   betterShard,
   bookRoom,
   chooseShard,
+  inCalls,
   missingCpus,
   planLeases,
   type LeaseInput,
   type LooseMachine,
+  type RentWish,
 } from '../src/leasing/index.js';
 import type { DemandSummary, MachineSummary, ShardSummary } from '../src/peers/index.js';
 import { spec } from './standins/jobs.js';
@@ -246,3 +248,17 @@
   );
   assert.equal(beyondFlow([{ tasks: 32, slackS: -5 }], 0.1), 30);
 });
+
+test('a wish for more than one call may ask for takes several calls, kind by kind in turn', () => {
+  const wish = (type: string, count: number): RentWish => ({ type, zone: 'a', spot: false, count });
+  assert.deepEqual(
+    inCalls([wish('small', 120), wish('big', 3)]).map((w) => [w.type, w.count]),
+    [
+      ['small', 50],
+      ['big', 3],
+      ['small', 50],
+      ['small', 20],
+    ],
+  );
+  assert.deepEqual(inCalls([]), []);
+});
