Records of jobs and operators' settings are decoded once for each stored value

Profile: every poll decoded its job's record bit by bit, every machine's look the operators' settings. Sets of task numbers are read by bytes, and a look for other blocks happens no more often than a move may. Tests: the set against a plain set.

--- a/src/admin/settings.ts
+++ b/src/admin/settings.ts
@@ -67,13 +67,18 @@
 
 /** Reads, changes and stores the settings under guard; null when the state service gave no answer. */
 export class SettingsStore {
+  private decoded: { readonly value: unknown; readonly settings: OperatorSettings } | undefined;
+
   constructor(
     private readonly state: StateClient,
     private readonly mirror: Mirror,
   ) {}
 
+  /** Asked for every machine in every round: decoded once for each value. */
   get current(): OperatorSettings {
-    return decodeSettings(this.mirror.get(SETTINGS)?.value);
+    const value = this.mirror.get(SETTINGS)?.value;
+    if (!this.decoded || this.decoded.value !== value) this.decoded = { value, settings: decodeSettings(value) };
+    return this.decoded.settings;
   }
 
   async read(): Promise<OperatorSettings | null> {
--- a/src/holder/holder.ts
+++ b/src/holder/holder.ts
@@ -3,7 +3,6 @@
 import { decodeRecord, encodeRecord, type JobRegistry, type JobSpec } from '../jobs/index.js';
 import {
   attempt,
-  Bits,
   isObject,
   jobId,
   millis,
@@ -634,7 +633,7 @@
   }
 
   private async storeProgress(run: JobRun): Promise<void> {
-    const done = Bits.decode(run.spec.tasks, run.done.encode());
+    const done = run.done.copy();
     const record = { ...run.record, done };
     const value = { ...(encodeRecord(record) as object), born: run.born };
     const key = jobKey(run.id);
@@ -1027,12 +1026,13 @@
   private moveElsewhere(run: JobRun, count: number, now: Millis): void {
     if (run.active.size > 0 || run.storing || run.moving || this.claimFence.size > 0) return;
     if (this.whereabouts.names(run.id)) return;
+    // Looking costs too: every machine of the other blocks is asked.
+    this.movedAt = now;
     const to = this.deps.roomElsewhere(this.shard, run.spec, count);
     if (to === null || to === this.shard) return;
     run.moving = true;
-    this.movedAt = now;
     const key = jobKey(run.id);
-    const done = Bits.decode(run.spec.tasks, run.done.encode());
+    const done = run.done.copy();
     const value = { ...(encodeRecord({ ...run.record, done, shard: to }) as object), born: run.born };
     const own = this.deps.mirror.get(shardKey(this.shard));
     if (!own) {
--- a/src/holder/run.ts
+++ b/src/holder/run.ts
@@ -68,7 +68,7 @@
     readonly born: Revision,
     readonly seenAt: Millis,
   ) {
-    this.done = Bits.decode(record.spec.tasks, record.done.encode());
+    this.done = record.done.copy();
     this.stored = record.done;
     this.lastStoredAt = seenAt;
     this.notBefore = seenAt;
--- a/src/jobs/model.ts
+++ b/src/jobs/model.ts
@@ -67,8 +67,20 @@
   };
 }
 
-/** Reads what we stored ourselves; null when it is not of that form. */
+/** Values that are kept are read by every poll: each is decoded once, as long as somebody holds it. */
+const decoded = new WeakMap<object, JobRecord | null>();
+
+/** Reads what we stored ourselves; null when it is not of that form. The record is shared: nobody changes it. */
 export function decodeRecord(value: unknown): JobRecord | null {
+  if (!isObject(value)) return null;
+  const known = decoded.get(value);
+  if (known !== undefined) return known;
+  const record = readRecord(value);
+  decoded.set(value, record);
+  return record;
+}
+
+function readRecord(value: unknown): JobRecord | null {
   if (!isObject(value) || !isObject(value['spec'])) return null;
   const spec = value['spec'] as unknown as JobSpec;
   const shard = value['shard'];
--- a/src/jobs/registry.ts
+++ b/src/jobs/registry.ts
@@ -101,7 +101,7 @@
       const known = await this.known(spec.id);
       return known.kind === 'absent' ? later('no shard is held yet') : known;
     }
-    const record: JobRecord = { spec, shard, submittedAt: this.clock.wall(), done: new Bits(spec.tasks) };
+    const record: JobRecord = { spec, shard, submittedAt: this.clock.wall(), done: Bits.empty(spec.tasks) };
     const value = encodeRecord(record);
     const result = await this.state.txn(
       Urgency.accept,
--- a/src/kernel/bits.ts
+++ b/src/kernel/bits.ts
@@ -1,10 +1,13 @@
 /** A fixed-size set of task numbers, stored as base64. */
 export class Bits {
-  private readonly bytes: Uint8Array;
-  private set = 0;
+  private constructor(
+    readonly size: number,
+    private readonly bytes: Uint8Array,
+    private set: number,
+  ) {}
 
-  constructor(readonly size: number) {
-    this.bytes = new Uint8Array((size + 7) >> 3);
+  static empty(size: number): Bits {
+    return new Bits(size, new Uint8Array((size + 7) >> 3), 0);
   }
 
   get count(): number {
@@ -23,16 +26,26 @@
     return true;
   }
 
+  copy(): Bits {
+    return new Bits(this.size, this.bytes.slice(), this.set);
+  }
+
   encode(): string {
     return this.set === 0 ? '' : Buffer.from(this.bytes).toString('base64');
   }
 
+  /** Byte by byte: jobs have up to 100,000 tasks, and records are read often. */
   static decode(size: number, text: string): Bits {
-    const bits = new Bits(size);
-    const raw = Buffer.from(text, 'base64');
-    for (let index = 0; index < size; index++) {
-      if (((raw[index >> 3] ?? 0) & (1 << (index & 7))) !== 0) bits.add(index);
+    const bytes = new Uint8Array((size + 7) >> 3);
+    bytes.set(Buffer.from(text, 'base64').subarray(0, bytes.length));
+    // Numbers beyond the size are none.
+    const last = bytes.length - 1;
+    if ((size & 7) !== 0) bytes[last] = (bytes[last] ?? 0) & ((1 << (size & 7)) - 1);
+    let set = 0;
+    for (const byte of bytes) {
+      let rest = byte;
+      for (; rest !== 0; rest &= rest - 1) set += 1;
     }
-    return bits;
+    return new Bits(size, bytes, set);
   }
 }
--- a/test/registry.test.ts
+++ b/test/registry.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { after, test } from 'node:test';
-import { createLogger, jobId, shardName, systemClock, type JobId } from '../src/kernel/index.js';
+import fc from 'fast-check';
+import { Bits, createLogger, jobId, shardName, systemClock, type JobId } from '../src/kernel/index.js';
 import { JobRegistry } from '../src/jobs/index.js';
 import { finalKey, jobKey, LIVE, Mirror, StateClient } from '../src/state/index.js';
 import type { MachineType } from '../src/cloud/index.js';
@@ -128,3 +129,26 @@
   assert.equal((await a.registry.submit(job)).kind, 'known');
   assert.equal((await a.registry.submit(spec({ id: 'j-9' }))).kind, 'later');
 });
+
+test('a set of task numbers is what a plain set is, through writing and reading too', () => {
+  fc.assert(
+    fc.property(fc.integer({ min: 1, max: 70 }), fc.array(fc.integer({ min: -2, max: 72 })), (size, numbers) => {
+      const bits = Bits.empty(size);
+      const plain = new Set<number>();
+      for (const n of numbers) {
+        const fits = n >= 0 && n < size && !plain.has(n);
+        assert.equal(bits.add(n), fits);
+        if (fits) plain.add(n);
+      }
+      const copy = bits.copy();
+      for (let n = 0; n < size; n++) copy.add(n);
+      assert.equal(copy.count, size);
+      for (const read of [bits, Bits.decode(size, bits.encode())]) {
+        assert.equal(read.count, plain.size);
+        for (let n = -1; n <= size + 8; n++) assert.equal(read.has(n), plain.has(n));
+      }
+      // What was stored with more tasks than there are is cut.
+      assert.equal(Bits.decode(size, Buffer.alloc(20, 255).toString('base64')).count, size);
+    }),
+  );
+});
