--- a/src/holder/holder.ts
+++ b/src/holder/holder.ts
@@ -112,7 +112,7 @@
 const AIMLESS_S = 120;
 const LOOK_ELSEWHERE_AT_ONCE = 2;
 /** Each move is a write: a swarm of small jobs must not spend what accepting and finishing them needs. */
-const MOVES_EVERY_MS = 400;
+const MOVES_EVERY_MS = 150;
 const STOP_AGAIN_MS = 2500;
 const MOVE_AFTER_MS = 1200;
 const LEAVE_WITHIN_MS = 10_000;
