After a claim, the few machines that don't answer when nearly all have are given up

Cause: after a takeover old jobs wait for the last machine of the block; a machine that had died was waited for by two report periods and the lease, 12 to 20 s in a block of 400 where one is nearly always dead. Change: less than a tenth of the block missing, three tries without answer and three seconds after the claim, it is given up and deleted.

--- a/src/holder/holder.ts
+++ b/src/holder/holder.ts
@@ -107,6 +107,10 @@
 const LOOK_ELSEWHERE_EVERY_MS = 1500;
 /** An array is through with its slowest task: how much longer that runs than the median. */
 const LAST_TASK = 1.3;
+/** After a claim: of so many machines one may be silent, through so many tries, for so long. */
+const FEW_SILENT = 10;
+const SILENT_TRIES = 3;
+const SILENT_FOR_MS = 3000;
 /** Within what time jobs of classes without an aim are to be through, or started. */
 const AIMLESS_ARRAY_S = 900;
 const AIMLESS_S = 120;
@@ -194,6 +198,12 @@
     return this.claimFence.size > 0 ? [...this.earlier.values()] : [];
   }
 
+  private unfence(id: MachineId): void {
+    if (!this.claimFence.delete(id) || this.claimFence.size > 0) return;
+    const afterMs = Math.round(this.deps.clock.now() - this.since);
+    this.deps.log.info({ shard: this.shard, afterMs }, 'every machine is known: jobs from before the claim go on');
+  }
+
   drop(): void {
     this.dropped = true;
     for (const machine of this.machines.values()) machine.courier.close();
@@ -225,7 +235,7 @@
       // Whoever else takes a machine out of the block has had it deleted first: nothing is on it.
       machine.belief.expire();
       this.releaseAll(machine, 'machine gone');
-      this.claimFence.delete(id);
+      this.unfence(id);
       machine.courier.close();
       this.toStop.delete(machine);
       this.machines.delete(id);
@@ -366,7 +376,7 @@
   /** Takes in what a worker lists: progress, exits, and tasks that an earlier holder started. */
   private sync(machine: HeldMachine): void {
     const now = this.deps.clock.now();
-    if (machine.belief.fenced) this.claimFence.delete(machine.id);
+    if (machine.belief.fenced) this.unfence(machine.id);
     for (const [key, listed] of machine.belief.tasks) {
       const run = this.jobs.get(listed.job);
       if (!run) {
@@ -572,7 +582,7 @@
       if (now < at || this.deps.heldUntil() < at) continue;
       machine.lost = true;
       machine.belief.expire();
-      this.claimFence.delete(machine.id);
+      this.unfence(machine.id);
       this.deps.log.info({ machine: machine.id }, 'a worker is silent and its lease is over');
       this.releaseAll(machine, 'lease over');
     }
@@ -1222,6 +1232,17 @@
     return run && !run.ended ? { running: run.runningCount, done: run.done.count } : null;
   }
 
+  /**
+   * After a claim every old job waits for the last machine to acknowledge. When nearly all have, the few that
+   * don't answer are dead rather than slow: losing them costs less than keeping everybody waiting.
+   */
+  private givenUpOn(machine: HeldMachine, now: Millis): boolean {
+    const heldMs = now - this.since;
+    if (heldMs > this.deps.settings.workers.leaseMs + 2000) return true;
+    const few = this.claimFence.size * FEW_SILENT < this.machines.size;
+    return few && machine.courier.failures >= SILENT_TRIES && heldMs > SILENT_FOR_MS;
+  }
+
   summary(): ShardSummary {
     const now = this.deps.clock.now();
     const machines: MachineSummary[] = [];
@@ -1233,7 +1254,7 @@
       const booking = this.bookingOf(machine, now);
       const silentMs = now - machine.belief.lastHeardAt;
       // Not acknowledged since the claim: it may run what was cancelled, and old jobs wait for it.
-      const unknown = this.claimFence.has(machine.id) && now - this.since > this.deps.settings.workers.leaseMs + 2000;
+      const unknown = this.claimFence.has(machine.id) && this.givenUpOn(machine, now);
       // Silent for reports and for commands while others of the block are heard: not our own network.
       const dead =
         machine.courier.failures >= 2 &&
