Replicas stop nothing where they may not go, and go beside gangs when they are late

Cause (operations, a line for each service that waits over 7 s): the busiest block had 100 plain machines full of replicas and 280 theatres; replicas that a lost machine had left waited up to 176 s. To make room, reminders beside gangs were stopped on theatres again and again, where replicas don't go; since room was on its way, the leader wasn't told either. Change: nothing is stopped on machines with accelerators for work that stays off them. A replica that is past its aim goes beside a gang, on what the gang leaves, once plain machines give nothing.

--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -322,6 +322,7 @@
   const stops: PlannedStop[] = [];
   const unplaced: Unplaced[] = [];
   const stopped = new Set<string>();
+  const left: Left[] = [];
 
   const withinLimit = (spec: JobSpec, count: number): boolean => {
     const team = teams.get(spec.team);
@@ -349,8 +350,10 @@
     const nowhere =
       spec.kind === 'gang' ? job.ready.length >= (hopelessGang.get(kind) ?? Infinity) : hopeless.has(kind);
     if (nowhere) {
-      if (withinLimit(spec, spec.kind === 'gang' ? job.ready.length : 1))
+      if (withinLimit(spec, spec.kind === 'gang' ? job.ready.length : 1)) {
         unplaced.push({ job: spec.id, count: job.ready.length });
+        if (lateReplicas(job)) left.push({ job, indices: job.ready });
+      }
       continue;
     }
     const mayUse = (room: Room): boolean =>
@@ -407,12 +410,64 @@
       starts.push({ job: spec.id, index, machine: id });
     }
     if (missing > 0) {
-      const waiting = preempt(job, missing, candidates, zoneUse, stopped, stops);
+      // Seen as reminders stopped beside gangs, again and again, for replicas that may not go there.
+      const plain = plainService ? candidates.filter((c) => c.view.gpus <= 0) : candidates;
+      const waiting = preempt(job, missing, plain, zoneUse, stopped, stops);
+      if (plainService && missing > waiting && lateReplicas(job))
+        left.push({ job, indices: job.ready.slice(job.ready.length - (missing - waiting)) });
       if (waiting === 0 && exhausted.has(kind)) hopeless.add(kind);
       if (missing - waiting > 0) unplaced.push({ job: spec.id, count: missing - waiting });
     }
   }
-  return { starts, stops, unplaced };
+  const beside = besideGangs(left, rooms, input, withinLimit, charge);
+  starts.push(...beside);
+  const found = new Map<JobId, number>();
+  for (const start of beside) found.set(start.job, (found.get(start.job) ?? 0) + 1);
+  const lacking = unplaced
+    .map(({ job, count }) => ({ job, count: count - (found.get(job) ?? 0) }))
+    .filter(({ count }) => count > 0);
+  return { starts, stops, unplaced: lacking };
+}
+
+/** Replicas that have waited too long already, without need for accelerators. */
+const lateReplicas = (job: PendingJob): boolean =>
+  job.spec.kind === 'service' && job.spec.gpus <= 0 && job.slackS < 0 && !job.suspect && !job.spec.spread;
+
+interface Left {
+  readonly job: PendingJob;
+  readonly indices: readonly number[];
+}
+
+/**
+ * When a block's plain machines are full of replicas, those that wait go beside gangs, on what these leave:
+ * a replica keeps a dear machine rented, but it doesn't wait for minutes.
+ */
+function besideGangs(
+  left: readonly Left[],
+  rooms: readonly Room[],
+  input: PlanInput,
+  withinLimit: (spec: JobSpec, count: number) => boolean,
+  charge: (spec: JobSpec) => void,
+): PlannedStart[] {
+  const starts: PlannedStart[] = [];
+  for (const { job, indices } of left) {
+    const { spec } = job;
+    const here = rooms.filter((c) => c.view.gpus > 0 && allowedKind(spec, c.view) && !job.avoid.has(c.view.id));
+    const choice = new Choice(here, (room) =>
+      fits(spec, room) && leavesReserve(spec, room, input.reserve) && allowedZone(spec, room.view.zone, job.zoneUse)
+        ? score(spec, room, 0)
+        : Infinity,
+    );
+    for (const index of indices) {
+      const best = withinLimit(spec, 1) ? choice.best() : undefined;
+      if (!best) break;
+      book(spec, best);
+      charge(spec);
+      choice.taken(best, NOWHERE_ELSE);
+      starts.push({ job: spec.id, index, machine: best.view.id });
+    }
+  }
+  return starts;
 }
 
 /** Room for every task at once, or nothing. */
