--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -24,6 +24,36 @@
       '@typescript-eslint/no-extraneous-class': 'off',
     },
   },
+  {
+    // Time, timers, luck and sockets come from the runtime that is handed in; only `system.ts` has the real ones.
+    files: ['src/**/*.ts', 'packages/*/src/**/*.ts'],
+    ignores: ['src/kernel/system.ts', 'src/cli/**'],
+    rules: {
+      'no-restricted-globals': [
+        'error',
+        ...['setTimeout', 'setInterval', 'setImmediate', 'clearTimeout', 'clearInterval', 'performance', 'process'].map(
+          (name) => ({ name, message: 'goes through the Runtime that is handed in' }),
+        ),
+      ],
+      'no-restricted-properties': [
+        'error',
+        { object: 'Math', property: 'random', message: 'goes through the Runtime that is handed in' },
+        { object: 'Date', property: 'now', message: 'goes through the Runtime that is handed in' },
+      ],
+      '@typescript-eslint/no-restricted-imports': [
+        'error',
+        {
+          paths: ['node:net', 'node:timers', 'node:timers/promises', 'node:dns', 'node:crypto', 'node:perf_hooks'].map(
+            (name) => ({ name, message: 'goes through the Runtime that is handed in' }),
+          ),
+          patterns: [
+            { regex: '(?:^|/)packages/', message: 'the core imports nothing from packages/' },
+            { regex: '^@wooddrift/', message: 'the core imports nothing from packages/' },
+          ],
+        },
+      ],
+    },
+  },
   {
     files: ['eslint.config.mjs'],
     rules: { 'no-restricted-syntax': 'off' },
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,7 +1,7 @@
 import { readFileSync } from 'node:fs';
 import { Command, InvalidArgumentError } from 'commander';
 import { loadSettings, SettingsError } from '../config/index.js';
-import { createLogger, HttpClient, parseAddress, type Call } from '../kernel/index.js';
+import { createLogger, HttpClient, parseAddress, systemRuntime, type Call } from '../kernel/index.js';
 import { Service } from '../service/index.js';
 
 declare const WOODDRIFT_VERSION: string | undefined;
@@ -23,7 +23,7 @@
   // No input and no rejected promise may end the service; what gets here is a defect and is logged.
   process.on('uncaughtException', (error) => log.error({ err: error }, 'an error reached the top'));
   process.on('unhandledRejection', (error) => log.error({ err: error }, 'a rejected promise reached the top'));
-  new Service(settings, log).start();
+  new Service(settings, log, systemRuntime).start();
 }
 
 const address = (text: string): string => {
--- a/src/cloud/client.ts
+++ b/src/cloud/client.ts
@@ -1,12 +1,11 @@
 import {
   HttpClient,
-  systemClock,
   type Address,
   type Answer,
-  type Clock,
   type Logger,
   type MachineId,
   type Millis,
+  type Runtime,
 } from '../kernel/index.js';
 import {
   decodeRentals,
@@ -39,16 +38,16 @@
     address: Address,
     private readonly rps: number,
     private readonly log: Logger,
-    private readonly clock: Clock = systemClock,
+    private readonly runtime: Runtime,
   ) {
-    this.http = new HttpClient(address, 3);
+    this.http = new HttpClient(address, 3, runtime);
     this.allowance = rps;
-    this.allowanceAt = clock.now();
+    this.allowanceAt = runtime.now();
   }
 
   /** True when a call may be made now; the caller comes back in its next round otherwise. */
   mayCall(): boolean {
-    const now = this.clock.now();
+    const now = this.runtime.now();
     const rate = this.rps * 0.8;
     this.allowance = Math.min(rate, this.allowance + ((now - this.allowanceAt) / 1000) * rate);
     this.allowanceAt = now;
--- a/src/holder/holder.ts
+++ b/src/holder/holder.ts
@@ -8,16 +8,15 @@
   millis,
   parseTaskKey,
   revision,
-  sleep,
   taskKey,
   type Attempt,
-  type Clock,
   type JobId,
   type Logger,
   type MachineId,
   type Millis,
   type NodeName,
   type Revision,
+  type Runtime,
   type ShardName,
   type TaskKey,
 } from '../kernel/index.js';
@@ -66,7 +65,7 @@
   readonly state: StateClient;
   readonly mirror: Mirror;
   readonly registry: JobRegistry;
-  readonly clock: Clock;
+  readonly runtime: Runtime;
   readonly log: Logger;
   types(): ReadonlyMap<string, MachineType>;
   operator(): OperatorView;
@@ -74,8 +73,6 @@
   heldUntil(): Millis;
   /** True while nobody else can have claimed our shards, whatever the watch has not shown yet. */
   certain(): boolean;
-  /** Between 0 and 1, for pauses that must not fall together. */
-  random(): number;
   /** Something is to be done soon. */
   nudge(): void;
   /** A worker has answered. */
@@ -165,7 +162,7 @@
     faulty: readonly MachineId[],
     private readonly deps: HolderDeps,
   ) {
-    const now = deps.clock.now();
+    const now = deps.runtime.now();
     this.lastSpeculation = now;
     this.since = now;
     this.sweptAt = millis(now - SWEEP_EVERY_MS);
@@ -187,7 +184,7 @@
   /** An earlier holder is known to command no more; after the last, the workers' leases run out from here on. */
   proven(node: NodeName): void {
     if (!this.earlier.delete(node) || this.earlier.size > 0 || this.proof !== null) return;
-    const now = this.deps.clock.now();
+    const now = this.deps.runtime.now();
     this.proof = now;
     for (const id of this.claimFence) this.machines.get(id)?.belief.answered(now);
     this.deps.log.info({ shard: this.shard }, 'the earlier holder is known to have stopped');
@@ -200,7 +197,7 @@
 
   private unfence(id: MachineId): void {
     if (!this.claimFence.delete(id) || this.claimFence.size > 0) return;
-    const afterMs = Math.round(this.deps.clock.now() - this.since);
+    const afterMs = Math.round(this.deps.runtime.now() - this.since);
     this.deps.log.info({ shard: this.shard, afterMs }, 'every machine is known: jobs from before the claim go on');
   }
 
@@ -220,7 +217,7 @@
     const wanted = new Set(value.machines.map((m) => m.id));
     for (const info of value.machines) {
       if (this.machines.has(info.id)) continue;
-      const machine: HeldMachine = new HeldMachine(info, version, this.deps.clock, this.deps.log, this.whereabouts, {
+      const machine: HeldMachine = new HeldMachine(info, version, this.deps.runtime, this.deps.log, this.whereabouts, {
         heard: () => {
           this.deps.heard();
           this.sync(machine);
@@ -276,7 +273,7 @@
     }
     const bornField = isObject(change.value) ? change.value['born'] : undefined;
     const born = typeof bornField === 'number' ? revision(bornField) : change.version;
-    const fresh = new JobRun(record, change.version, born, this.deps.clock.now());
+    const fresh = new JobRun(record, change.version, born, this.deps.runtime.now());
     if (run) this.endedRuns.delete(run);
     this.jobs.set(id, fresh);
     // Tasks of it may be listed already: this is a takeover, or the watch was late.
@@ -329,7 +326,7 @@
 
   onReport(message: WorkerMessage): ReportReply {
     const machine = this.machines.get(message.machine);
-    const now = this.deps.clock.now();
+    const now = this.deps.runtime.now();
     if (!machine || this.dropped) return { status: 421, body: encodeRedirect(null) };
     if (this.frozen || (machine.leaving?.since ?? 0) < 0)
       return { status: 503, body: { error: 'the shard changes hands' } };
@@ -375,7 +372,7 @@
 
   /** Takes in what a worker lists: progress, exits, and tasks that an earlier holder started. */
   private sync(machine: HeldMachine): void {
-    const now = this.deps.clock.now();
+    const now = this.deps.runtime.now();
     if (machine.belief.fenced) this.unfence(machine.id);
     for (const [key, listed] of machine.belief.tasks) {
       const run = this.jobs.get(listed.job);
@@ -437,7 +434,7 @@
   private readonly runOf = (id: JobId): JobRun | undefined => this.jobs.get(id);
 
   private inUse(machine: HeldMachine): boolean {
-    return this.bookingOf(machine, this.deps.clock.now())?.inUse ?? !machine.belief.empty;
+    return this.bookingOf(machine, this.deps.runtime.now())?.inUse ?? !machine.belief.empty;
   }
 
   private onState(machine: HeldMachine, run: JobRun, active: ActiveTask, listed: ListedTask, now: Millis): void {
@@ -481,7 +478,7 @@
   /** Either the machine is at fault or the job: who fails wherever it is tried condemns nobody. */
   private onFailure(machine: HeldMachine, run: JobRun, index: number, now: Millis): void {
     const before = run.failsEverywhere;
-    run.noteError(machine.id, now, this.deps.random());
+    run.noteError(machine.id, now, this.deps.runtime.random());
     if (run.failsEverywhere) {
       if (before) return;
       for (const id of run.errorMachines) this.machines.get(id)?.absolve(run.id);
@@ -502,7 +499,7 @@
   }
 
   private release(machine: HeldMachine, run: JobRun, active: ActiveTask, why: string): void {
-    run.noteRunning(active, this.deps.clock.now());
+    run.noteRunning(active, this.deps.runtime.now());
     run.active.delete(active.index);
     machine.active.delete(taskKey(run.id, active.index));
     this.deps.log.debug({ job: run.id, index: active.index, machine: machine.id, why }, 'a task is off its machine');
@@ -520,7 +517,7 @@
   private stop(run: JobRun, active: ActiveTask, reason: StopReason, graceS = run.graceS): void {
     if (active.stopping) return;
     if (reason === 'cancelled' || reason === 'regroup') graceS = 0;
-    active.stopping = { reason, since: this.deps.clock.now(), graceS };
+    active.stopping = { reason, since: this.deps.runtime.now(), graceS };
     const machine = this.machines.get(active.machine);
     if (machine) {
       this.toStop.add(machine);
@@ -542,7 +539,7 @@
 
   round(): void {
     if (this.dropped || this.frozen) return;
-    const now = this.deps.clock.now();
+    const now = this.deps.runtime.now();
     const sweep = now - this.sweptAt >= SWEEP_EVERY_MS;
     if (sweep) {
       this.sweptAt = now;
@@ -626,7 +623,7 @@
     try {
       await write();
     } finally {
-      run.lastStoredAt = this.deps.clock.now();
+      run.lastStoredAt = this.deps.runtime.now();
       run.storing = false;
     }
   }
@@ -638,7 +635,7 @@
       this.deps.log.info({ job: run.id }, 'job done');
       return;
     }
-    run.finishNotBefore = millis(this.deps.clock.now() + FINISH_AGAIN_MS);
+    run.finishNotBefore = millis(this.deps.runtime.now() + FINISH_AGAIN_MS);
     if (result === 'conflict') await this.reread(run);
   }
 
@@ -704,7 +701,7 @@
     const r = resourceR(booked, t);
     const flags: Flag[] = [];
     const running = new Map<string, number>();
-    const wall = this.deps.clock.wall();
+    const wall = this.deps.runtime.wall();
     for (const run of this.jobs.values()) {
       if (run.ended || run.spec.kind !== 'array' || run.startedAt === null) continue;
       const started = run.startedAt;
@@ -843,7 +840,7 @@
   /** Seconds until the job misses its next and its last aim, by its deadline or its class's aims. */
   private slackOf(run: JobRun): { slackS: number; lastSlackS: number; aimed: boolean } {
     const { spec } = run;
-    const sinceS = (this.deps.clock.wall() - run.submittedAt) / 1000;
+    const sinceS = (this.deps.runtime.wall() - run.submittedAt) / 1000;
     const runS = run.expectedRunS * (spec.kind === 'array' && spec.tasks > 1 ? LAST_TASK : 1);
     const times: number[] = [];
     if (spec.deadlineS !== null) times.push(spec.deadlineS - runS);
@@ -1068,6 +1065,7 @@
             key,
             this.deps.state,
             this.deps.mirror,
+            this.deps.runtime,
             () => !this.dropped && !run.ended,
             (stored) => (isObject(stored) ? { ...stored, born: run.born } : stored),
           );
@@ -1104,7 +1102,7 @@
     const machine = this.machines.get(id);
     if (!machine || machine.leaving) return;
     if (!machine.belief.empty && this.inUse(machine)) return;
-    machine.leaving = { to, since: this.deps.clock.now() };
+    machine.leaving = { to, since: this.deps.runtime.now() };
     // Idle accelerators leave although their cpus are lent out: that work saves and moves.
     for (const { run, task } of [...machine.active.values()]) this.stopWithMates(run, task, 'drain');
     this.soon();
@@ -1167,7 +1165,7 @@
       return;
     }
     // An unknown write may still be applied: the machines take nothing new until that is settled.
-    if (result.kind === 'unknown') await settleShard(this.shard, state, mirror, () => !this.dropped);
+    if (result.kind === 'unknown') await settleShard(this.shard, state, mirror, this.deps.runtime, () => !this.dropped);
     for (const machine of leaving) machine.leaving = null;
     this.soon();
   }
@@ -1175,7 +1173,7 @@
   /** May the shard change hands without anybody noticing: everything in it is known and heard? */
   get quiet(): boolean {
     if (!this.fenced) return false;
-    const now = this.deps.clock.now();
+    const now = this.deps.runtime.now();
     for (const machine of this.machines.values()) {
       if (!machine.belief.fenced || !machine.courier.idle || machine.belief.pendingStarts.size > 0) return false;
       if (machine.leaving || now - machine.belief.lastHeardAt > 2 * this.deps.settings.workers.reportMs) return false;
@@ -1197,8 +1195,12 @@
     if (this.frozen) return false;
     this.frozen = true;
     // Progress is written all the time: nothing new begins, and what is under way comes back first.
-    for (const until = this.deps.clock.now() + SETTLE_WITHIN_MS; this.writing && !this.dropped; await sleep(20)) {
-      if (this.deps.clock.now() < until) continue;
+    for (
+      const until = this.deps.runtime.now() + SETTLE_WITHIN_MS;
+      this.writing && !this.dropped;
+      await this.deps.runtime.sleep(20)
+    ) {
+      if (this.deps.runtime.now() < until) continue;
       this.frozen = false;
       return false;
     }
@@ -1220,7 +1222,7 @@
       return true;
     }
     if (result.kind === 'unknown')
-      await settleShard(this.shard, this.deps.state, this.deps.mirror, () => !this.dropped);
+      await settleShard(this.shard, this.deps.state, this.deps.mirror, this.deps.runtime, () => !this.dropped);
     if (!this.dropped) this.frozen = false;
     return false;
   }
@@ -1244,7 +1246,7 @@
   }
 
   summary(): ShardSummary {
-    const now = this.deps.clock.now();
+    const now = this.deps.runtime.now();
     const machines: MachineSummary[] = [];
     let heardLately = 0;
     for (const machine of this.machines.values()) {
--- a/src/holder/machine.ts
+++ b/src/holder/machine.ts
@@ -1,4 +1,4 @@
-import type { Clock, JobId, Logger, MachineId, Millis, Revision, TaskKey } from '../kernel/index.js';
+import type { JobId, Logger, MachineId, Millis, Revision, Runtime, TaskKey } from '../kernel/index.js';
 import type { BlockMachine } from '../membership/index.js';
 import type { MachineView } from '../placement/index.js';
 import { Courier, MachineBelief, type CourierHooks, type Mentions } from '../workers/index.js';
@@ -40,14 +40,14 @@
   constructor(
     readonly info: BlockMachine,
     base: Revision,
-    clock: Clock,
+    runtime: Runtime,
     log: Logger,
     mentions: Mentions,
     hooks: CourierHooks,
   ) {
-    const now = clock.now();
+    const now = runtime.now();
     this.belief = new MachineBelief(base, now, { mentions, machine: info.id });
-    this.courier = new Courier(info.id, this.belief, clock, log, hooks);
+    this.courier = new Courier(info.id, this.belief, runtime, log, hooks);
     this.courier.setAddress(info.address);
     this.coolUntil = now;
     this.emptySince = now;
--- a/src/jobs/registry.ts
+++ b/src/jobs/registry.ts
@@ -1,6 +1,6 @@
 import type { MachineType } from '../cloud/index.js';
 import type { TeamFacts } from '../config/index.js';
-import { Bits, type Clock, type JobId, type Logger, type Revision, type ShardName } from '../kernel/index.js';
+import { Bits, type JobId, type Logger, type Revision, type Runtime, type ShardName } from '../kernel/index.js';
 import { finalKey, Freshness, jobKey, Urgency, type Mirror, type StateClient } from '../state/index.js';
 import { whyNever } from './admission.js';
 import {
@@ -50,10 +50,10 @@
     private readonly mirror: Mirror,
     private readonly teams: ReadonlyMap<string, TeamFacts>,
     private readonly hooks: RegistryHooks,
-    private readonly clock: Clock,
+    private readonly runtime: Runtime,
     private readonly log: Logger,
   ) {
-    this.freshness = new Freshness(state, mirror, clock);
+    this.freshness = new Freshness(state, mirror, runtime);
   }
 
   /** The present state of a job, read afresh; an ended job is in `finals` before it leaves `jobs`. */
@@ -101,7 +101,7 @@
       const known = await this.known(spec.id);
       return known.kind === 'absent' ? later('no shard is held yet') : known;
     }
-    const record: JobRecord = { spec, shard, submittedAt: this.clock.wall(), done: Bits.empty(spec.tasks) };
+    const record: JobRecord = { spec, shard, submittedAt: this.runtime.wall(), done: Bits.empty(spec.tasks) };
     const value = encodeRecord(record);
     const result = await this.state.txn(
       Urgency.accept,
--- a/src/kernel/clock.ts
+++ b/src/kernel/clock.ts
@@ -1,4 +1,4 @@
-import { millis, wallMillis, type Millis, type WallMillis } from './brands.js';
+import type { Millis, WallMillis } from './brands.js';
 
 /** Time is handed in, so that decisions can be played in simulated time. */
 export interface Clock {
@@ -6,10 +6,5 @@
   wall(): WallMillis;
 }
 
-export const systemClock: Clock = {
-  now: () => millis(performance.now()),
-  wall: () => wallMillis(Date.now()),
-};
-
 /** Steady clocks of different machines drift apart by up to 0.05 %; twice that is our margin. */
 export const withDrift = (ms: number): number => ms * 1.002;
--- a/src/kernel/head.ts
+++ b/src/kernel/head.ts
@@ -8,7 +8,7 @@
   readonly close: boolean;
 }
 
-const REQUEST = /^(GET|POST) (\/[!-~]*) HTTP\/1\.1\r\n/;
+const REQUEST = /^(GET|POST|DELETE) (\/[!-~]*) HTTP\/1\.1\r\n/;
 const LENGTH = /\r\ncontent-length:[ \t]*(\d{1,9})[ \t]*(?=\r\n)/gi;
 /** With one of these a message needs more than a length to be read; a folded or odd line as well. */
 const NOT_PLAIN =
--- a/src/kernel/http.ts
+++ b/src/kernel/http.ts
@@ -1,5 +1,6 @@
-import { connect, type Socket } from 'node:net';
 import { headEnd, joinChunks, readResponseHead, type ResponseHead } from './head.js';
+import type { Connection, Runtime } from './runtime.js';
+import { systemRuntime } from './system.js';
 
 /** What came of an outgoing request: an answer, or a failure whose effect is unknown when it was sent. */
 export type Answer =
@@ -40,7 +41,7 @@
 
 /** One connection: one request at a time. What breaks it fails its request; nothing is sent twice. */
 class Line {
-  private readonly socket: Socket;
+  private readonly socket: Connection;
   private input: Buffer[] = [];
   private size = 0;
   private head: ResponseHead | undefined;
@@ -49,10 +50,11 @@
 
   constructor(
     address: Address,
+    runtime: Runtime,
     private readonly free: (line: Line) => void,
     private readonly gone: (line: Line) => void,
   ) {
-    this.socket = connect({ host: address.host, port: address.port, noDelay: true });
+    this.socket = runtime.connect(address);
     this.socket.on('data', (chunk: Buffer) => this.onData(chunk));
     this.socket.on('error', (error) => this.end(error.message));
     this.socket.on('close', () => this.end('connection closed'));
@@ -159,6 +161,7 @@
   constructor(
     readonly address: Address,
     private readonly maxSockets: number,
+    private readonly runtime: Runtime = systemRuntime,
   ) {}
 
   close(): void {
@@ -175,16 +178,16 @@
         finish: (answer) => {
           if (waiting.done) return;
           waiting.done = true;
-          clearTimeout(timer);
+          timer.cancel();
           resolve(answer);
         },
       };
-      const timer = setTimeout(() => {
+      const timer = this.runtime.after(call.timeoutMs, () => {
         const line = [...this.lines].find((candidate) => candidate.serves(waiting));
         waiting.finish(failed('timeout'));
         // Its answer may still come: the connection can't be used for another.
         line?.end('timeout');
-      }, call.timeoutMs);
+      });
       this.queue.push(waiting);
       this.pump();
     });
@@ -211,6 +214,7 @@
     if (this.lines.size >= this.maxSockets) return undefined;
     const line = new Line(
       this.address,
+      this.runtime,
       (free) => {
         this.idle.push(free);
         this.pump();
@@ -237,5 +241,3 @@
 export const asCount = (value: unknown): number | undefined =>
   typeof value === 'number' && Number.isSafeInteger(value) && value >= 0 ? value : undefined;
 export const asList = (value: unknown): readonly unknown[] => (Array.isArray(value) ? value : []);
-
-export const sleep = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
--- a/src/kernel/index.ts
+++ b/src/kernel/index.ts
@@ -3,5 +3,8 @@
 export * from './clock.js';
 export * from './head.js';
 export * from './http.js';
+export * from './lane.js';
 export * from './logger.js';
 export * from './loop.js';
+export * from './runtime.js';
+export * from './system.js';
--- a/src/service/lane.ts
+++ b/src/kernel/lane.ts
@@ -1,5 +1,5 @@
-import type { Socket } from 'node:net';
-import { headEnd, readHead, type RequestHead } from '../kernel/index.js';
+import { headEnd, readHead, type RequestHead } from './head.js';
+import type { Connection } from './runtime.js';
 
 /** What the lane serves itself; null leaves the request to the router. */
 export interface LaneAnswer {
@@ -50,17 +50,17 @@
   private closing = false;
 
   private constructor(
-    private readonly socket: Socket,
+    private readonly socket: Connection,
     private readonly find: (head: RequestHead) => LaneHandler | undefined,
     private readonly maxBody: number,
-    private readonly handOver: (socket: Socket, unread: Buffer) => void,
+    private readonly handOver: (socket: Connection, unread: Buffer) => void,
   ) {}
 
   static serve(
-    socket: Socket,
+    socket: Connection,
     find: (head: RequestHead) => LaneHandler | undefined,
     maxBody: number,
-    handOver: (socket: Socket, unread: Buffer) => void,
+    handOver: (socket: Connection, unread: Buffer) => void,
   ): void {
     const lane = new Lane(socket, find, maxBody, handOver);
     socket.on('data', lane.onData);
--- a/src/kernel/loop.ts
+++ b/src/kernel/loop.ts
@@ -1,6 +1,6 @@
 import { catchError, concatMap, EMPTY, from, interval, merge, Subject, throttleTime, type Subscription } from 'rxjs';
-import { sleep } from './http.js';
 import type { Logger } from './logger.js';
+import type { Runtime } from './runtime.js';
 
 const MOST_REST_MS = 160;
 
@@ -17,6 +17,7 @@
   constructor(
     private readonly name: string,
     private readonly everyMs: number,
+    private readonly runtime: Runtime,
     private readonly log: Logger,
     private readonly round: () => Promise<void> | void,
     private readonly settleMs = 20,
@@ -25,8 +26,9 @@
   ) {}
 
   start(): void {
-    const ticks = interval(this.everyMs);
-    const nudged = this.nudges.pipe(throttleTime(this.settleMs, undefined, { leading: true, trailing: true }));
+    const { scheduler } = this.runtime;
+    const ticks = interval(this.everyMs, scheduler);
+    const nudged = this.nudges.pipe(throttleTime(this.settleMs, scheduler, { leading: true, trailing: true }));
     this.subscription = merge(ticks, nudged)
       .pipe(
         concatMap(() => {
@@ -53,11 +55,11 @@
   private async once(): Promise<void> {
     this.busy = true;
     this.again = false;
-    const began = performance.now();
+    const began = this.runtime.now();
     try {
       await this.round();
-      const restMs = Math.min(MOST_REST_MS, (performance.now() - began) * this.restFactor);
-      if (restMs > this.settleMs) await sleep(restMs);
+      const restMs = Math.min(MOST_REST_MS, (this.runtime.now() - began) * this.restFactor);
+      if (restMs > this.settleMs) await this.runtime.sleep(restMs);
     } catch (error) {
       this.log.error({ err: error, loop: this.name }, 'a reconcile round failed');
     } finally {
--- a/src/leasing/leader.ts
+++ b/src/leasing/leader.ts
@@ -2,13 +2,13 @@
 import { decodeSpec, type JobSpec } from '../jobs/index.js';
 import {
   millis,
-  type Clock,
   type JobId,
   type Logger,
   type MachineId,
   type Millis,
   type NodeName,
   type Revision,
+  type Runtime,
   type ShardName,
 } from '../kernel/index.js';
 import {
@@ -29,7 +29,7 @@
   readonly state: StateClient;
   readonly mirror: Mirror;
   readonly cloud: CloudClient;
-  readonly clock: Clock;
+  readonly runtime: Runtime;
   readonly log: Logger;
   readonly listLagMs: number;
   /** How large a value the state service takes. */
@@ -79,12 +79,12 @@
   private renting = false;
 
   constructor(private readonly deps: LeaderDeps) {
-    this.startedAt = deps.clock.now();
+    this.startedAt = deps.runtime.now();
   }
 
   /** A worker that is in no block reports: it is up and may be leased. */
   noteUp(message: WorkerMessage): void {
-    const now = this.deps.clock.now();
+    const now = this.deps.runtime.now();
     const isNew = !this.known.get(message.machine)?.reportedAt;
     const known = this.learn(message.machine, message.type, message.zone, message.spot, now);
     if (isNew) this.deps.nudge();
@@ -124,7 +124,7 @@
       this.term = null;
       return;
     }
-    const now = this.deps.clock.now();
+    const now = this.deps.runtime.now();
     if (term !== this.term) {
       this.term = term;
       this.known.clear();
@@ -211,7 +211,7 @@
     try {
       const rentals = await this.deps.cloud.list();
       if (!rentals) return;
-      const at = this.deps.clock.now();
+      const at = this.deps.runtime.now();
       const listed = new Set<MachineId>();
       for (const r of rentals) {
         listed.add(r.id);
@@ -258,7 +258,7 @@
         this.deps.log.info({ shard: to, machines: added.map((m) => m.id) }, 'leased machines to a shard');
         this.deps.mirror.apply({ key: shardKey(to), value, removed: false, version: result.revision });
       } else if (result.kind === 'unknown') {
-        await settleShard(to, this.deps.state, this.deps.mirror, () => this.deps.leading() === term);
+        await settleShard(to, this.deps.state, this.deps.mirror, this.deps.runtime, () => this.deps.leading() === term);
       }
     }
   }
@@ -357,7 +357,7 @@
         // The term is a revision and the number grows: no name is ever used twice.
         const name = `w${term}-${this.requests}`;
         const result = await this.deps.cloud.rent({ ...wish, name });
-        const now = this.deps.clock.now();
+        const now = this.deps.runtime.now();
         if (result.kind === 'rented') {
           for (const id of result.ids) this.learn(id, wish.type, wish.zone, wish.spot, now);
           this.deps.log.info({ ...wish, got: result.ids.length }, 'rented machines');
--- a/src/membership/settle.ts
+++ b/src/membership/settle.ts
@@ -1,18 +1,24 @@
-import { sleep, type ShardName } from '../kernel/index.js';
+import type { Runtime, ShardName } from '../kernel/index.js';
 import { shardKey, Urgency, type Mirror, type StateClient } from '../state/index.js';
 
 /**
  * After a write of unknown outcome: reads the shard's key and writes it back under guard. Once that
  * is done the lost write either shows or can never be applied any more.
  */
-export const settleShard = (shard: ShardName, state: StateClient, mirror: Mirror, goOn: () => boolean): Promise<void> =>
-  settleKey(shardKey(shard), state, mirror, goOn);
+export const settleShard = (
+  shard: ShardName,
+  state: StateClient,
+  mirror: Mirror,
+  runtime: Runtime,
+  goOn: () => boolean,
+): Promise<void> => settleKey(shardKey(shard), state, mirror, runtime, goOn);
 
 /** The same for any key. What a value owes to its version must be in the rewritten value itself. */
 export async function settleKey(
   key: string,
   state: StateClient,
   mirror: Mirror,
+  runtime: Runtime,
   goOn: () => boolean,
   rewritten: (value: unknown) => unknown = (value) => value,
 ): Promise<void> {
@@ -30,6 +36,6 @@
         return;
       }
     }
-    await sleep(300);
+    await runtime.sleep(300);
   }
 }
--- a/src/peers/link.ts
+++ b/src/peers/link.ts
@@ -1,6 +1,15 @@
-import { connect, createServer, type Server, type Socket } from 'node:net';
 import { Subject } from 'rxjs';
-import type { Address, Clock, Incarnation, Logger, Millis, NodeName } from '../kernel/index.js';
+import type {
+  Address,
+  Connection,
+  Incarnation,
+  Listening,
+  Logger,
+  Millis,
+  NodeName,
+  Runtime,
+  Timer,
+} from '../kernel/index.js';
 import { FrameSplitter } from './codec.js';
 import { decodeMessage, encodeMessage, type AskOp, type PeerCondition, type PeerMessage } from './messages.js';
 
@@ -23,7 +32,7 @@
 interface Outgoing {
   readonly node: NodeName;
   readonly address: Address;
-  socket: Socket | undefined;
+  socket: Connection | undefined;
   ready: boolean;
 }
 
@@ -33,10 +42,10 @@
   private readonly peers: Outgoing[];
   private readonly status = new Map<NodeName, PeerStatus>();
   private readonly waiting = new Map<number, (answer: { status: number; body: string } | null) => void>();
-  private server: Server | undefined;
+  private server: Listening | undefined;
   private incoming = 0;
   private nextAsk = 1;
-  private timer: NodeJS.Timeout | undefined;
+  private timer: Timer | undefined;
 
   constructor(
     private readonly self: NodeName,
@@ -44,22 +53,24 @@
     private readonly listenOn: Address,
     seeds: readonly { readonly node: NodeName; readonly address: Address }[],
     private readonly condition: () => PeerCondition,
-    private readonly clock: Clock,
+    private readonly runtime: Runtime,
     private readonly log: Logger,
   ) {
     this.peers = seeds.map((seed) => ({ ...seed, socket: undefined, ready: false }));
   }
 
   start(): void {
-    this.server = createServer((socket) => this.accept(socket));
-    this.server.on('error', (error) => this.log.error({ err: error }, 'the peer listener failed'));
-    this.server.listen(this.listenOn.port, this.listenOn.host);
+    this.server = this.runtime.listen({
+      ...this.listenOn,
+      accept: (socket) => this.accept(socket),
+      failed: (error) => this.log.error({ err: error }, 'the peer listener failed'),
+    });
     this.tick();
-    this.timer = setInterval(() => this.tick(), HELLO_EVERY_MS);
+    this.timer = this.runtime.every(HELLO_EVERY_MS, () => this.tick());
   }
 
   stop(): void {
-    clearInterval(this.timer);
+    this.timer?.cancel();
     this.server?.close();
     for (const peer of this.peers) peer.socket?.destroy();
   }
@@ -71,7 +82,7 @@
   /** What a peer last said of itself, if that was lately. */
   statusOf(node: NodeName, withinMs = 3000): PeerStatus | null {
     const status = this.status.get(node);
-    return status && this.clock.now() - status.heardAt <= withinMs ? status : null;
+    return status && this.runtime.now() - status.heardAt <= withinMs ? status : null;
   }
 
   send(to: NodeName, message: PeerMessage): boolean {
@@ -103,12 +114,12 @@
   ask(to: NodeName, op: AskOp, body: string, timeoutMs: number): Promise<{ status: number; body: string } | null> {
     return new Promise((resolve) => {
       const id = this.nextAsk++ >>> 0;
-      const timer = setTimeout(() => {
+      const timer = this.runtime.after(timeoutMs, () => {
         this.waiting.delete(id);
         resolve(null);
-      }, timeoutMs);
+      });
       this.waiting.set(id, (answer) => {
-        clearTimeout(timer);
+        timer.cancel();
         this.waiting.delete(id);
         resolve(answer);
       });
@@ -139,18 +150,17 @@
   }
 
   private open(peer: Outgoing): void {
-    const socket = connect({ host: peer.address.host, port: peer.address.port });
+    const socket = this.runtime.connect(peer.address);
     peer.socket = socket;
-    const timer = setTimeout(() => socket.destroy(), CONNECT_TIMEOUT_MS);
-    socket.setNoDelay(true);
+    const timer = this.runtime.after(CONNECT_TIMEOUT_MS, () => socket.destroy());
     socket.on('connect', () => {
-      clearTimeout(timer);
+      timer.cancel();
       peer.ready = true;
       this.write(peer, this.hello());
     });
     socket.on('error', () => undefined);
     socket.on('close', () => {
-      clearTimeout(timer);
+      timer.cancel();
       peer.ready = false;
       peer.socket = undefined;
     });
@@ -159,7 +169,7 @@
     socket.resume();
   }
 
-  private accept(socket: Socket): void {
+  private accept(socket: Connection): void {
     if (this.incoming >= MAX_INCOMING) {
       socket.destroy();
       return;
@@ -178,7 +188,7 @@
               incarnation: message.incarnation,
               stateOk: message.stateOk,
               fit: message.fit,
-              heardAt: this.clock.now(),
+              heardAt: this.runtime.now(),
             });
           }
           if (from === undefined) throw new Error('a frame before the greeting');
--- a/src/service/http.ts
+++ b/src/service/http.ts
@@ -1,5 +1,4 @@
 import { createServer as createWebServer, type ServerResponse } from 'node:http';
-import { createServer, type AddressInfo, type Socket } from 'node:net';
 import express, {
   type ErrorRequestHandler,
   type Express,
@@ -7,11 +6,20 @@
   type Response,
   type Router,
 } from 'express';
-import type { Logger, RequestHead } from '../kernel/index.js';
+import {
+  Lane,
+  type Address,
+  type Connection,
+  type LaneAnswer,
+  type LaneHandler,
+  type Listening,
+  type Logger,
+  type RequestHead,
+  type Runtime,
+} from '../kernel/index.js';
 import { parseSubmission } from '../jobs/index.js';
 import type { ReportReply } from '../holder/index.js';
 import { decodeMessage, type WorkerMessage } from '../workers/index.js';
-import { Lane, type LaneAnswer, type LaneHandler } from './lane.js';
 import type { UserAnswer, UserRequest } from './users.js';
 
 const BODY_LIMIT = 64 * 1024;
@@ -134,6 +142,7 @@
       if (path === '/v1/jobs') return submit;
       return CANCEL.test(path) ? cancel : undefined;
     }
+    if (method !== 'GET') return undefined;
     if (path === '/healthz') return health;
     return POLL.test(path) ? query : undefined;
   };
@@ -150,9 +159,9 @@
 export function listen(
   app: Express,
   find: (head: RequestHead) => LaneHandler | undefined,
-  port: number,
-  host: string,
+  on: Address,
   maxConnections: number,
+  runtime: Runtime,
   log: Logger,
 ): Listener {
   // Never listens itself: it is given the connections that need it, and what they have sent so far.
@@ -163,24 +172,25 @@
     if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
     else socket.destroy();
   });
-  const sockets = new Set<Socket>();
-  const server = createServer({ allowHalfOpen: true, noDelay: true }, (socket) => {
-    sockets.add(socket);
-    socket.on('close', () => sockets.delete(socket));
-    Lane.serve(socket, find, BODY_LIMIT, (given, unread) => {
-      given.unshift(unread);
-      web.emit('connection', given);
-    });
+  const sockets = new Set<Connection>();
+  const listening: Listening = runtime.listen({
+    ...on,
+    maxConnections,
+    allowHalfOpen: true,
+    accept: (socket) => {
+      sockets.add(socket);
+      socket.on('close', () => sockets.delete(socket));
+      Lane.serve(socket, find, BODY_LIMIT, (given, unread) => {
+        given.unshift(unread);
+        web.emit('connection', given);
+      });
+    },
+    failed: (error) => log.error({ err: error }, 'the listener failed'),
   });
-  server.maxConnections = maxConnections;
-  server.on('error', (error) => log.error({ err: error }, 'the listener failed'));
-  server.listen(port, host);
   return {
-    ready: new Promise((resolve) => {
-      server.once('listening', () => resolve((server.address() as AddressInfo).port));
-    }),
+    ready: listening.ready,
     shut: () => {
-      server.close();
+      listening.close();
       for (const socket of sockets) socket.destroy();
     },
   };
--- a/src/service/service.ts
+++ b/src/service/service.ts
@@ -1,4 +1,3 @@
-import { randomBytes, randomInt } from 'node:crypto';
 import { adminRouter, SettingsStore } from '../admin/index.js';
 import { CloudClient, type MachineType } from '../cloud/index.js';
 import type { Settings } from '../config/index.js';
@@ -8,11 +7,11 @@
   incarnation,
   ReconcileLoop,
   shardName,
-  sleep,
-  systemClock,
+  type Incarnation,
   type JobId,
   type Logger,
   type NodeName,
+  type Runtime,
   type ShardName,
 } from '../kernel/index.js';
 import { betterShard, bookRoom, chooseShard, Leader } from '../leasing/index.js';
@@ -33,8 +32,7 @@
 
 /** One controller: all slices put together. */
 export class Service {
-  private readonly clock = systemClock;
-  private readonly incarnation = incarnation(randomBytes(8).toString('hex'));
+  private readonly incarnation: Incarnation;
   private readonly state: StateClient;
   private readonly mirror: Mirror;
   private readonly cloud: CloudClient;
@@ -61,22 +59,23 @@
   constructor(
     private readonly settings: Settings,
     private readonly log: Logger,
+    private readonly runtime: Runtime,
   ) {
-    const { clock } = this;
-    this.reach = new Reach(clock.now());
+    this.incarnation = incarnation(runtime.uniqueId());
+    this.reach = new Reach(runtime.now());
     this.ownShard = shardName(settings.node);
-    this.state = new StateClient(settings.state, settings.stateLimits, log, clock);
+    this.state = new StateClient(settings.state, settings.stateLimits, log, runtime);
     this.state.writers = settings.seeds.length + 1;
-    this.mirror = new Mirror(this.state, LIVE, log);
+    this.mirror = new Mirror(this.state, LIVE, runtime, log);
     this.directory = new ShardDirectory(this.mirror);
-    this.cloud = new CloudClient(settings.cloud, settings.cloudLimits.rps, log, clock);
+    this.cloud = new CloudClient(settings.cloud, settings.cloudLimits.rps, log, runtime);
     this.peers = new PeerLink(
       settings.node,
       this.incarnation,
       settings.peerOn,
       settings.seeds,
       () => ({ stateOk: this.state.available && this.mirror.loaded, fit: this.fit }),
-      clock,
+      runtime,
       log,
     );
     this.membership = new Membership(
@@ -90,7 +89,7 @@
         verify: () => this.verifyShards(),
         mayClaim: () => this.fit || !this.peers.names.some((peer) => this.isFit(peer)),
       },
-      clock,
+      runtime,
       log,
     );
     this.registry = new JobRegistry(
@@ -103,7 +102,7 @@
         running: (id) => this.runningOf(id),
         cancelled: (id) => this.peers.broadcast({ kind: 'cancelled', job: id }),
       },
-      clock,
+      runtime,
       log,
     );
     this.settingsStore = new SettingsStore(this.state, this.mirror);
@@ -118,7 +117,7 @@
       state: this.state,
       mirror: this.mirror,
       cloud: this.cloud,
-      clock,
+      runtime,
       log,
       listLagMs: settings.cloudLimits.listLagMs,
       valueKb: settings.stateLimits.valueKb,
@@ -129,10 +128,11 @@
       tell: (node, message) => this.tell(node, message),
       nudge: () => this.leaderRounds.nudge(),
     });
-    this.leaderRounds = new ReconcileLoop('leader', 1000, log, () => this.leader.round(), 700);
+    this.leaderRounds = new ReconcileLoop('leader', 1000, runtime, log, () => this.leader.round(), 700);
     this.rounds = new ReconcileLoop(
       'holders',
       250,
+      runtime,
       log,
       () => {
         for (const holder of this.holders.values()) holder.round();
@@ -144,7 +144,7 @@
   }
 
   start(): void {
-    const { log, settings } = this;
+    const { log, runtime, settings } = this;
     this.mirror.changes.subscribe((change) => this.onChange(change));
     this.peers.received.subscribe((received) => this.onPeer(received));
     this.peers.start();
@@ -157,13 +157,15 @@
     const app = createApp(handlers, admin, log);
     const sockets = Math.max(50, Math.floor(settings.maxConnections * 0.7));
     const { host, port } = settings.serveOn;
-    this.server = listen(app, laneRoutes(handlers, log), port, host, sockets, log);
+    this.server = listen(app, laneRoutes(handlers, log), { host, port }, sockets, runtime, log);
     void this.mirror.run();
-    const session = new ReconcileLoop('session', this.membership.renewEveryMs, log, () => this.membership.keep());
-    const claims = new ReconcileLoop('claims', 200, log, () => this.claims());
-    const summaries = new ReconcileLoop('summaries', SUMMARY_EVERY_MS, log, () => this.publish());
-    const types = new ReconcileLoop('types', 500, log, () => this.learnTypes());
-    const reach = new ReconcileLoop('reach', 200, log, () => this.checkReach());
+    const session = new ReconcileLoop('session', this.membership.renewEveryMs, runtime, log, () =>
+      this.membership.keep(),
+    );
+    const claims = new ReconcileLoop('claims', 200, runtime, log, () => this.claims());
+    const summaries = new ReconcileLoop('summaries', SUMMARY_EVERY_MS, runtime, log, () => this.publish());
+    const types = new ReconcileLoop('types', 500, runtime, log, () => this.learnTypes());
+    const reach = new ReconcileLoop('reach', 200, runtime, log, () => this.checkReach());
     this.loops.push(session, claims, reach, types, summaries, this.leaderRounds, this.rounds);
     for (const loop of this.loops) loop.start();
     session.nudge();
@@ -239,13 +241,12 @@
       state: this.state,
       mirror: this.mirror,
       registry: this.registry,
-      clock: this.clock,
+      runtime: this.runtime,
       log: this.log,
       types: () => this.types,
       operator: () => this.settingsStore.current,
       heldUntil: () => this.membership.heldUntilAtLeast,
       certain: () => this.membership.certain,
-      random: () => Math.random(),
       nudge: () => this.rounds.nudge(),
       heard: () => this.reach.heard(),
       roomElsewhere: (from, spec, count) => this.roomElsewhere(from, spec, count),
@@ -277,9 +278,9 @@
     let machines = 0;
     for (const holder of this.holders.values()) machines += holder.machines.size;
     const { reportMs } = this.settings.workers;
-    if (this.reach.look(this.clock.now(), machines, reportMs) === 'nothing') return;
+    if (this.reach.look(this.runtime.now(), machines, reportMs) === 'nothing') return;
     const addresses = this.someAddresses();
-    const answered = await probeWorkers(addresses);
+    const answered = await probeWorkers(addresses, this.runtime);
     if (this.reach.probed(addresses.length, answered)) {
       this.log.info(
         { reachable: this.reach.ok, asked: addresses.length, answered },
@@ -287,7 +288,7 @@
       );
       this.peers.greet();
     }
-    if (!this.reach.ok) await sleep(PROBE_AGAIN_MS);
+    if (!this.reach.ok) await this.runtime.sleep(PROBE_AGAIN_MS);
   }
 
   /** Some machines of our blocks; of all, when we have none. */
@@ -296,7 +297,8 @@
       this.holders.size === 0 || this.holders.has(shard) ? value.machines : [],
     );
     const chosen = new Set<string>();
-    for (let i = 0; i < PROBES && known.length > 0; i++) chosen.add(known[randomInt(known.length)]?.address ?? '');
+    for (let i = 0; i < PROBES && known.length > 0; i++)
+      chosen.add(known[Math.floor(this.runtime.random() * known.length)]?.address ?? '');
     chosen.delete('');
     return [...chosen];
   }
@@ -315,7 +317,7 @@
   }
 
   private async reviewShards(): Promise<void> {
-    const now = this.clock.now();
+    const now = this.runtime.now();
     for (const [shard, holder] of this.holders) {
       for (const { node, incarnation: life } of holder.doubtful) {
         const heard = this.peers.statusOf(node)?.incarnation ?? this.membership.alive(node);
@@ -366,7 +368,7 @@
   private onPeer({ from, message }: Received): void {
     switch (message.kind) {
       case 'summary':
-        this.summaries.set(message.summary.shard, { summary: message.summary, at: this.clock.now() });
+        this.summaries.set(message.summary.shard, { summary: message.summary, at: this.runtime.now() });
         break;
       case 'cancelled':
         for (const holder of this.holders.values()) void holder.onCancelled(message.job);
@@ -407,13 +409,13 @@
     this.state.writers = Math.max(1, this.membership.aliveCount);
     for (const [shard, holder] of this.holders) {
       const summary = holder.summary();
-      this.summaries.set(shard, { summary, at: this.clock.now() });
+      this.summaries.set(shard, { summary, at: this.runtime.now() });
       this.peers.broadcast({ kind: 'summary', summary });
     }
   }
 
   private currentSummaries(): ShardSummary[] {
-    const now = this.clock.now();
+    const now = this.runtime.now();
     const current: ShardSummary[] = [];
     for (const { summary, at } of this.summaries.values()) if (now - at < SUMMARY_VALID_MS) current.push(summary);
     return current;
@@ -471,7 +473,7 @@
 
   /** One round. The first node that learns the types stores them: others start without the cloud. */
   private async learnTypes(): Promise<void> {
-    const now = this.clock.now();
+    const now = this.runtime.now();
     if (this.types.size > 0 && (this.membership.leading === null || now - this.typesAt < TYPES_EVERY_MS)) return;
     if (!this.mirror.loaded || (this.types.size > 0 && !this.cloud.mayCall())) return;
     const types = await this.cloud.types();
--- a/src/state/client.ts
+++ b/src/state/client.ts
@@ -1,13 +1,11 @@
 import {
   HttpClient,
-  sleep,
-  systemClock,
   type Address,
   type Answer,
-  type Clock,
   type Logger,
   type Millis,
   type Revision,
+  type Runtime,
 } from '../kernel/index.js';
 import {
   decodeEntry,
@@ -91,13 +89,13 @@
     address: Address,
     private readonly limits: StateLimits,
     private readonly log: Logger,
-    private readonly clock: Clock = systemClock,
+    private readonly runtime: Runtime,
   ) {
-    this.http = new HttpClient(address, 8);
-    this.watchHttp = new HttpClient(address, 2);
+    this.http = new HttpClient(address, 8, runtime);
+    this.watchHttp = new HttpClient(address, 2, runtime);
     this.allowance = limits.writeRps / 2;
-    this.allowanceAt = clock.now();
-    this.lastOk = clock.now();
+    this.allowanceAt = runtime.now();
+    this.lastOk = runtime.now();
   }
 
   close(): void {
@@ -137,7 +135,7 @@
       }
       if (answer.kind === 'answered' && answer.status === 404) return { kind: 'absent' };
       if (answer.kind === 'answered' && answer.status === 429) {
-        await sleep(100);
+        await this.runtime.sleep(100);
         continue;
       }
       return { kind: 'unavailable' };
@@ -210,7 +208,7 @@
         resolve({ kind: 'refused' });
         return;
       }
-      const deadline = (this.clock.now() + waitMs) as Millis;
+      const deadline = (this.runtime.now() + waitMs) as Millis;
       let at = this.queue.length;
       while (at > 0 && (this.queue[at - 1]?.urgency ?? 0) > urgency) at -= 1;
       this.queue.splice(at, 0, { urgency, guards, ops, deadline, resolve });
@@ -222,7 +220,7 @@
     if (this.pumping) return;
     this.pumping = true;
     while (this.queue.length > 0) {
-      const now = this.clock.now();
+      const now = this.runtime.now();
       for (let i = this.queue.length - 1; i >= 0; i--) {
         const queued = this.queue[i];
         if (queued && queued.deadline < now) {
@@ -237,7 +235,7 @@
       const next = this.queue[0];
       if (!next) break;
       if (this.inFlight >= 6 || this.allowance < allowanceFor(next, burst)) {
-        await sleep(this.inFlight >= 6 ? 10 : 25);
+        await this.runtime.sleep(this.inFlight >= 6 ? 10 : 25);
         continue;
       }
       this.queue.shift();
@@ -273,9 +271,9 @@
         return;
       }
       // 429 was not executed; guards make sending it again harmless all the same.
-      if (answer.status === 429 && this.clock.now() + 150 < queued.deadline) {
+      if (answer.status === 429 && this.runtime.now() + 150 < queued.deadline) {
         this.allowance = Math.min(this.allowance, 0);
-        await sleep(150);
+        await this.runtime.sleep(150);
         continue;
       }
       queued.resolve({ kind: 'refused' });
@@ -293,7 +291,7 @@
     if (answer.kind === 'failed' || answer.status === 503) this.failures += 1;
     else {
       this.failures = 0;
-      this.lastOk = this.clock.now();
+      this.lastOk = this.runtime.now();
     }
     return answer;
   }
--- a/src/state/freshness.ts
+++ b/src/state/freshness.ts
@@ -1,4 +1,4 @@
-import { sleep, type Clock, type Millis } from '../kernel/index.js';
+import type { Millis, Runtime } from '../kernel/index.js';
 import type { StateClient } from './client.js';
 import type { Mirror } from './mirror.js';
 
@@ -19,9 +19,9 @@
   constructor(
     private readonly state: StateClient,
     private readonly mirror: Mirror,
-    private readonly clock: Clock,
+    private readonly runtime: Runtime,
   ) {
-    this.sentAt = (clock.now() - SHARE_MS) as Millis;
+    this.sentAt = (runtime.now() - SHARE_MS) as Millis;
   }
 
   /** False: not known to be fresh, the key must be read. */
@@ -32,11 +32,11 @@
   }
 
   private async ask(): Promise<boolean> {
-    const pauseMs = this.sentAt + SHARE_MS - this.clock.now();
-    await (pauseMs > 0 ? sleep(pauseMs) : Promise.resolve());
+    const pauseMs = this.sentAt + SHARE_MS - this.runtime.now();
+    await (pauseMs > 0 ? this.runtime.sleep(pauseMs) : Promise.resolve());
     // Whoever comes from here on needs a later answer.
     this.next = undefined;
-    this.sentAt = this.clock.now();
+    this.sentAt = this.runtime.now();
     const revision = await this.state.revision();
     return revision !== null && (await this.mirror.reach(revision, FOLLOW_MS));
   }
--- a/src/state/mirror.ts
+++ b/src/state/mirror.ts
@@ -1,5 +1,5 @@
 import { Subject } from 'rxjs';
-import { revision, sleep, type Logger, type Revision } from '../kernel/index.js';
+import { revision, type Logger, type Revision, type Runtime } from '../kernel/index.js';
 import type { StateClient } from './client.js';
 import type { Change, Entry } from './wire.js';
 
@@ -29,6 +29,7 @@
   constructor(
     private readonly client: StateClient,
     private readonly prefix: string,
+    private readonly runtime: Runtime,
     private readonly log: Logger,
   ) {}
 
@@ -62,14 +63,14 @@
       const waiter = {
         upTo,
         resolve: (fresh: boolean): void => {
-          clearTimeout(timer);
+          timer.cancel();
           resolve(fresh);
         },
       };
-      const timer = setTimeout(() => {
+      const timer = this.runtime.after(withinMs, () => {
         this.waiters = this.waiters.filter((w) => w !== waiter);
         resolve(false);
-      }, withinMs);
+      });
       this.waiters.push(waiter);
     });
   }
@@ -101,7 +102,7 @@
 
   private async takeIn(changes: readonly Change[]): Promise<void> {
     for (const [i, change] of changes.entries()) {
-      if (i > 0 && i % CHANGES_AT_ONCE === 0) await sleep(0);
+      if (i > 0 && i % CHANGES_AT_ONCE === 0) await this.runtime.sleep(0);
       try {
         this.apply(change);
       } catch (error) {
@@ -133,24 +134,24 @@
   async run(): Promise<void> {
     while (!this.stopped) {
       if (this.at === undefined) {
-        if (!(await this.load())) await sleep(300);
+        if (!(await this.load())) await this.runtime.sleep(300);
         continue;
       }
       const page = await this.client.follow(this.prefix, this.at, 10_000);
       if (page === 'gone') {
         this.log.info('the watch is too far behind, reading everything again');
-        if (!(await this.load())) await sleep(300);
+        if (!(await this.load())) await this.runtime.sleep(300);
         continue;
       }
       if (page === null) {
-        await sleep(300);
+        await this.runtime.sleep(300);
         continue;
       }
       await this.takeIn(page.changes);
       if (page.revision > this.at) this.at = page.revision;
       this.arrive();
       for (const [key, at] of this.graves) if (at <= this.at) this.graves.delete(key);
-      if (page.changes.length > 0) await sleep(REOPEN_MS);
+      if (page.changes.length > 0) await this.runtime.sleep(REOPEN_MS);
     }
   }
 
--- a/src/workers/courier.ts
+++ b/src/workers/courier.ts
@@ -1,4 +1,4 @@
-import { HttpClient, parseAddress, type Millis, type Clock, type Logger, type MachineId } from '../kernel/index.js';
+import { HttpClient, parseAddress, type Logger, type MachineId, type Millis, type Runtime } from '../kernel/index.js';
 import type { MachineBelief } from './belief.js';
 import { decodeMessage, encodeCommands, type Order, type WorkerMessage } from './wire.js';
 
@@ -24,7 +24,7 @@
   constructor(
     readonly machine: MachineId,
     private readonly belief: MachineBelief,
-    private readonly clock: Clock,
+    private readonly runtime: Runtime,
     private readonly log: Logger,
     private readonly hooks: CourierHooks,
   ) {}
@@ -45,7 +45,7 @@
   ready(): boolean {
     if (this.busy || !this.client) return false;
     if (this.failedAt === undefined) return true;
-    return this.clock.now() - this.failedAt > Math.min(2000, 200 * 2 ** Math.min(4, this.failures));
+    return this.runtime.now() - this.failedAt > Math.min(2000, 200 * 2 ** Math.min(4, this.failures));
   }
 
   setAddress(text: string): void {
@@ -54,7 +54,7 @@
     if (!address) return;
     this.client?.close();
     this.address = text;
-    this.client = new HttpClient(address, 1);
+    this.client = new HttpClient(address, 1, this.runtime);
   }
 
   close(): void {
@@ -79,7 +79,7 @@
       const message = answer.kind === 'answered' ? decodeMessage(answer.body) : null;
       if (answer.kind === 'failed' || !message || (answer.status !== 200 && answer.status !== 409)) {
         this.failures += 1;
-        this.failedAt = this.clock.now();
+        this.failedAt = this.runtime.now();
         const reason = answer.kind === 'failed' ? answer.reason : `status ${answer.status}`;
         this.log.debug({ machine: this.machine, reason, starts: starts.length }, 'a command got no answer');
         // It may be executed minutes later: only a higher token that is acknowledged makes it void.
@@ -93,7 +93,7 @@
         if (starts.length > 0) this.belief.raiseToken();
         return;
       }
-      const verdict = this.belief.take(message, this.clock.now());
+      const verdict = this.belief.take(message, this.runtime.now());
       // Answered: executed as a whole (200) or not at all (409), so these starts are settled.
       this.belief.settleStarts(starts);
       if (verdict === 'superseded') this.hooks.superseded();
--- a/src/workers/prober.ts
+++ b/src/workers/prober.ts
@@ -1,15 +1,15 @@
-import { HttpClient, parseAddress } from '../kernel/index.js';
+import { HttpClient, parseAddress, type Runtime } from '../kernel/index.js';
 import { decodeMessage } from './wire.js';
 
 const TIMEOUT_MS = 1000;
 
 /** Asks some workers whether they are there, each on a connection of its own; tells how many answered. */
-export async function probeWorkers(addresses: readonly string[]): Promise<number> {
+export async function probeWorkers(addresses: readonly string[], runtime: Runtime): Promise<number> {
   const answers = await Promise.all(
     addresses.map(async (text): Promise<number> => {
       const address = parseAddress(text);
       if (!address) return 0;
-      const client = new HttpClient(address, 1);
+      const client = new HttpClient(address, 1, runtime);
       const answer = await client.call({ method: 'GET', path: '/status', timeoutMs: TIMEOUT_MS });
       client.close();
       return answer.kind === 'answered' && decodeMessage(answer.body) ? 1 : 0;
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -11,7 +11,7 @@
   nodeName,
   revision,
   shardName,
-  systemClock,
+  systemRuntime,
   taskKey,
   type MachineId,
   type TaskKey,
@@ -141,8 +141,8 @@
 
 test('polls that come together share a request, and none is answered from an older mirror', async () => {
   const state = new StandInState();
-  const client = new StateClient(await state.start(), { rps: 1000, writeRps: 1000 }, log);
-  const mirror = new Mirror(client, LIVE, log);
+  const client = new StateClient(await state.start(), { rps: 1000, writeRps: 1000 }, log, systemRuntime);
+  const mirror = new Mirror(client, LIVE, systemRuntime, log);
   after(() => {
     mirror.stop();
     client.close();
@@ -150,7 +150,7 @@
   });
   state.put('live/jobs/j-1', { at: 0 });
   void mirror.run();
-  const freshness = new Freshness(client, mirror, systemClock);
+  const freshness = new Freshness(client, mirror, systemRuntime);
   while (!mirror.loaded) await new Promise((resolve) => setTimeout(resolve, 5));
   for (let i = 1; i <= 10; i++) {
     state.put('live/jobs/j-1', { at: i });
@@ -165,8 +165,8 @@
 
 test('the directory knows whose each machine is after every change of a block', async () => {
   const state = new StandInState();
-  const client = new StateClient(await state.start(), { rps: 1000, writeRps: 1000 }, log);
-  const mirror = new Mirror(client, LIVE, log);
+  const client = new StateClient(await state.start(), { rps: 1000, writeRps: 1000 }, log, systemRuntime);
+  const mirror = new Mirror(client, LIVE, systemRuntime, log);
   after(() => {
     client.close();
     state.stop();
--- a/test/lane.test.ts
+++ b/test/lane.test.ts
@@ -3,7 +3,7 @@
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import { test } from 'node:test';
 import { Router } from 'express';
-import { createLogger, HttpClient, joinChunks } from '../src/kernel/index.js';
+import { createLogger, HttpClient, joinChunks, systemRuntime } from '../src/kernel/index.js';
 import { createApp, laneRoutes, listen, type Handlers } from '../src/service/index.js';
 
 const log = createLogger('silent', 'test');
@@ -130,7 +130,7 @@
   const app = createApp(handlers, Router(), log);
   const plain = createWebServer(app);
   await new Promise<void>((resolve) => plain.listen(0, HOST, resolve));
-  const lane = listen(app, laneRoutes(handlers, log), 0, HOST, 50, log);
+  const lane = listen(app, laneRoutes(handlers, log), { host: HOST, port: 0 }, 50, systemRuntime, log);
   const lanePort = await lane.ready;
   const plainPort = (plain.address() as AddressInfo).port;
   try {
--- a/test/registry.test.ts
+++ b/test/registry.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { after, test } from 'node:test';
 import fc from 'fast-check';
-import { Bits, createLogger, jobId, shardName, systemClock, type JobId } from '../src/kernel/index.js';
+import { Bits, createLogger, jobId, shardName, systemRuntime, type JobId } from '../src/kernel/index.js';
 import { JobRegistry } from '../src/jobs/index.js';
 import { finalKey, jobKey, LIVE, Mirror, StateClient } from '../src/state/index.js';
 import type { MachineType } from '../src/cloud/index.js';
@@ -34,14 +34,14 @@
 
 /** One controller's registry; each has its own client and mirror, as each controller has. */
 function desk(): Desk {
-  const client = new StateClient(address, { rps: 1000, writeRps: 1000 }, log);
+  const client = new StateClient(address, { rps: 1000, writeRps: 1000 }, log, systemRuntime);
   const cancelled: JobId[] = [];
   const made: Desk = {
     cancelled,
     types: [small],
     registry: new JobRegistry(
       client,
-      new Mirror(client, LIVE, log),
+      new Mirror(client, LIVE, systemRuntime, log),
       new Map([['t', { cpus: 0, cpusMax: 0, gpus: 0, gpusMax: 0 }]]),
       {
         types: () => made.types,
@@ -49,7 +49,7 @@
         running: () => ({ running: 0, done: 0 }),
         cancelled: (id) => cancelled.push(id),
       },
-      systemClock,
+      systemRuntime,
       log,
     ),
   };
--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -2,7 +2,7 @@
 import { createServer, type AddressInfo } from 'node:net';
 import { test } from 'node:test';
 import { parseSettings } from '../src/config/index.js';
-import { attempt, createLogger, HttpClient, isObject, jobId, sleep, taskKey } from '../src/kernel/index.js';
+import { attempt, createLogger, HttpClient, isObject, jobId, systemRuntime, taskKey } from '../src/kernel/index.js';
 import { Service } from '../src/service/index.js';
 import { StandInCloud } from './standins/cloud.js';
 import { StandInMachine } from './standins/machine.js';
@@ -22,7 +22,7 @@
 async function until(what: string, holds: () => boolean | Promise<boolean>): Promise<void> {
   for (let i = 0; i < 1500; i++) {
     if (await holds()) return;
-    await sleep(20);
+    await systemRuntime.sleep(20);
   }
   assert.fail(`never came about: ${what}`);
 }
@@ -73,6 +73,7 @@
 list_lag_s = 1.0
 `),
         log,
+        systemRuntime,
       );
     });
     const clients = nodes.map((n) => new HttpClient({ host: '127.0.0.1', port: n.port }, 2));
--- a/test/suspects.test.ts
+++ b/test/suspects.test.ts
@@ -2,7 +2,17 @@
 import { test } from 'node:test';
 import { spec } from './standins/jobs.js';
 import { HeldMachine, JobRun } from '../src/holder/index.js';
-import { Bits, createLogger, jobId, machineId, millis, revision, shardName, wallMillis } from '../src/kernel/index.js';
+import {
+  Bits,
+  createLogger,
+  jobId,
+  machineId,
+  millis,
+  revision,
+  shardName,
+  systemRuntime,
+  wallMillis,
+} from '../src/kernel/index.js';
 import { planPlacement, type MachineView, type PendingJob } from '../src/placement/index.js';
 import { Whereabouts } from '../src/workers/index.js';
 
@@ -45,7 +55,14 @@
   const clock = { now: () => millis(0), wall: () => wallMillis(0) };
   const info = { id: m(1), type: 't', zone: 'z', spot: false, address: '' };
   const hooks = { heard: (): void => undefined, superseded: (): void => undefined };
-  const machine = new HeldMachine(info, revision(1), clock, createLogger('silent', 't'), new Whereabouts(), hooks);
+  const machine = new HeldMachine(
+    info,
+    revision(1),
+    { ...systemRuntime, ...clock },
+    createLogger('silent', 't'),
+    new Whereabouts(),
+    hooks,
+  );
   for (let i = 0; i < 3; i++) machine.noteFailure(jobId('j-bad'), millis(1));
   assert.ok(machine.faulty(millis(1)));
   machine.absolve(jobId('j-bad'));
