--- /dev/null
+++ b/packages/region/src/checker/index.ts
@@ -0,0 +1,1 @@
+export * from './rules.js';
--- /dev/null
+++ b/packages/region/src/checker/rules.ts
@@ -0,0 +1,241 @@
+import type { JobTruth, Machine, TaskWatch, UserWitness } from '../models/index.js';
+
+/** The protocol's rules: a day on which one of them breaks counts for nothing. */
+export const RULES = [
+  'ran_twice',
+  'quota',
+  'wrong_place',
+  'ran_cancelled',
+  'forgotten',
+  'invented',
+  'not_done',
+  'went_back',
+  'nothing_ran',
+] as const;
+export type Rule = (typeof RULES)[number];
+
+export interface Breach {
+  readonly rule: Rule;
+  /** True time in milliseconds. */
+  readonly at: number;
+  readonly what: string;
+}
+
+export interface TeamLimits {
+  /** 0: none. */
+  readonly cpusMax: number;
+  readonly gpusMax: number;
+}
+
+interface Told {
+  readonly job: JobTruth;
+  accepted: boolean;
+  /** The user has asked to cancel it. */
+  cancelAsked: boolean;
+  cancelToldAt: number | null;
+  final: 'done' | 'withdrawn' | null;
+  lastAnswerAt: number;
+  failedPolls: number;
+  forgotten: boolean;
+}
+
+const FORGOTTEN_MS = 90_000;
+const BUCKET_MS = 10_000;
+const MOST_KEPT = 200;
+const EPSILON = 1e-6;
+
+/**
+ * Checks every rule of the protocol, told after each event by the models what truly happened: where
+ * tasks are, and what users were told. It asks the service nothing.
+ */
+export class RuleChecker implements TaskWatch, UserWitness {
+  readonly breaches: Breach[] = [];
+  private readonly on = new Map<string, Map<string, Machine>>();
+  private readonly byJob = new Map<string, Map<number, Machine>>();
+  private readonly used = new Map<string, { cpus: number; gpus: number }>();
+  private readonly told = new Map<string, Told>();
+  private readonly polls: { bucket: number; answered: number; failed: number }[] = [];
+  private submitted = 0;
+  private started = 0;
+
+  constructor(
+    private readonly now: () => number,
+    private readonly teams: ReadonlyMap<string, TeamLimits>,
+    private readonly cancelS: number,
+    private readonly later: (ms: number, work: () => void) => void,
+    private readonly broken: (breach: Breach) => void = () => undefined,
+  ) {}
+
+  private breach(rule: Rule, what: string): void {
+    const breach = { rule, at: this.now(), what };
+    if (this.breaches.length < MOST_KEPT) this.breaches.push(breach);
+    this.broken(breach);
+  }
+
+  // ---- what happens on machines
+
+  entered(machine: Machine, job: JobTruth, index: number, attempt: number): void {
+    const { spec } = job;
+    const key = `${spec.ref}/${index}`;
+    this.started += 1;
+    let where = this.on.get(key);
+    if (!where) this.on.set(key, (where = new Map()));
+    for (const other of where.keys())
+      this.breach('ran_twice', `${key} starts on ${machine.id} while it is on ${other} (attempt ${attempt})`);
+    where.set(machine.id, machine);
+    this.checkPlace(machine, job, index);
+    let mates = this.byJob.get(spec.ref);
+    if (!mates) this.byJob.set(spec.ref, (mates = new Map()));
+    mates.set(index, machine);
+    this.use(job, 1);
+    const told = this.told.get(spec.ref);
+    if (told?.cancelToldAt != null && this.now() > told.cancelToldAt + this.cancelS * 1000)
+      this.breach('ran_cancelled', `${key} starts on ${machine.id} after its user was told that it is cancelled`);
+  }
+
+  running(): void {
+    // No rule is about this.
+  }
+
+  left(machine: Machine, { spec }: JobTruth, index: number): void {
+    const key = `${spec.ref}/${index}`;
+    const where = this.on.get(key);
+    if (!where?.delete(machine.id)) return;
+    if (where.size === 0) this.on.delete(key);
+    const mates = this.byJob.get(spec.ref);
+    if (mates?.get(index) === machine) {
+      const [elsewhere] = where.values();
+      if (elsewhere) mates.set(index, elsewhere);
+      else mates.delete(index);
+      if (mates.size === 0) this.byJob.delete(spec.ref);
+    }
+    const team = this.used.get(spec.owner);
+    if (team) {
+      team.cpus -= spec.vcpus;
+      team.gpus -= spec.accelerators;
+    }
+  }
+
+  private use({ spec }: JobTruth, count: number): void {
+    let team = this.used.get(spec.owner);
+    if (!team) this.used.set(spec.owner, (team = { cpus: 0, gpus: 0 }));
+    team.cpus += spec.vcpus * count;
+    team.gpus += spec.accelerators * count;
+    const limits = this.teams.get(spec.owner);
+    const over = (used: number, most: number | undefined): boolean =>
+      most !== undefined && most > 0 && used > most + EPSILON;
+    if (over(team.cpus, limits?.cpusMax) || over(team.gpus, limits?.gpusMax))
+      this.breach('quota', `${spec.owner} uses ${team.cpus} cpus and ${team.gpus} gpus with ${spec.ref}`);
+  }
+
+  private checkPlace(machine: Machine, { spec }: JobTruth, index: number): void {
+    const name = `${spec.ref}/${index} on ${machine.id}`;
+    const { type, zone, spot } = machine;
+    if (spec.hulls && !spec.hulls.includes(type.name)) this.breach('wrong_place', `${name}: type ${type.name}`);
+    if (spec.berth !== null && spec.berth !== zone) this.breach('wrong_place', `${name}: zone ${zone}`);
+    if (spot && !spec.flotsam) this.breach('wrong_place', `${name}: a spot machine`);
+    const mates = [...(this.byJob.get(spec.ref) ?? [])].filter(([mate]) => mate !== index);
+    if (spec.same_place && mates.some(([, other]) => other.zone !== zone))
+      this.breach('wrong_place', `${name}: the others are not in ${zone}`);
+    const inZone = mates.filter(([, other]) => other.zone === zone).length + 1;
+    if (spec.scatter && inZone > Math.ceil(spec.pieces / 2))
+      this.breach('wrong_place', `${name}: ${inZone} of ${spec.pieces} in ${zone}`);
+  }
+
+  // ---- what users are told
+
+  submits(job: JobTruth): void {
+    this.submitted += 1;
+    this.told.set(job.spec.ref, {
+      ...{ job, accepted: false, cancelAsked: false, cancelToldAt: null, final: null },
+      ...{ lastAnswerAt: this.now(), failedPolls: 0, forgotten: false },
+    });
+  }
+
+  submitAnswered(ref: string, status: number, phase: unknown): void {
+    const told = this.told.get(ref);
+    if (!told) return;
+    if (status === 200 || status === 201) {
+      if (!told.accepted) told.lastAnswerAt = this.now();
+      told.accepted = true;
+      this.phaseTold(told, phase);
+    } else if (told.accepted && (status === 400 || status === 422))
+      this.forget(told, `a repeated submission gets ${status}`);
+  }
+
+  polled(ref: string, status: number | null, phase: unknown): void {
+    const told = this.told.get(ref);
+    if (!told) {
+      if (status === 200) this.breach('invented', `${ref} is answered, and nobody submitted it`);
+      return;
+    }
+    const answered = status === 200 || status === 404;
+    this.countPoll(answered);
+    if (status === 200) {
+      told.lastAnswerAt = this.now();
+      told.failedPolls = 0;
+      this.phaseTold(told, phase);
+    } else if (status === 404) {
+      if (told.accepted) this.forget(told, 'a poll gets 404');
+    } else if (told.accepted) {
+      told.failedPolls += 1;
+      const silent = this.now() - told.lastAnswerAt;
+      if (silent > FORGOTTEN_MS && told.failedPolls >= 5 && this.mostAnswered())
+        this.forget(told, 'every poll fails while most others get answers');
+    }
+  }
+
+  cancelAsked(ref: string): void {
+    const told = this.told.get(ref);
+    if (told) told.cancelAsked = true;
+  }
+
+  cancelAnswered(ref: string, status: number, phase: unknown): void {
+    const told = this.told.get(ref);
+    if (!told || status !== 200) return;
+    this.phaseTold(told, phase);
+    if (phase !== 'withdrawn' || told.cancelToldAt !== null) return;
+    told.cancelToldAt = this.now();
+    this.later(this.cancelS * 1000 + 1, () => {
+      const mates = this.byJob.get(ref);
+      for (const [index, machine] of mates ?? [])
+        this.breach('ran_cancelled', `${ref}/${index} is still on ${machine.id} ${this.cancelS} s after`);
+    });
+  }
+
+  private phaseTold(told: Told, phase: unknown): void {
+    const { ref } = told.job.spec;
+    if (told.final !== null && phase !== told.final)
+      this.breach('went_back', `${ref} was ${told.final} and is now ${String(phase)}`);
+    if (phase === 'done' && !told.job.complete) this.breach('not_done', `${ref} is called done before its tasks are`);
+    if (phase === 'withdrawn' && !told.cancelAsked) this.breach('went_back', `${ref} is cancelled, not by its user`);
+    if (told.final === null && (phase === 'done' || phase === 'withdrawn')) told.final = phase;
+  }
+
+  private forget(told: Told, why: string): void {
+    if (told.forgotten) return;
+    told.forgotten = true;
+    this.breach('forgotten', `${told.job.spec.ref}: ${why}`);
+  }
+
+  private countPoll(answered: boolean): void {
+    const bucket = Math.floor(this.now() / BUCKET_MS);
+    let last = this.polls.at(-1);
+    if (last?.bucket !== bucket) {
+      this.polls.push((last = { bucket, answered: 0, failed: 0 }));
+      if (this.polls.length > FORGOTTEN_MS / BUCKET_MS) this.polls.shift();
+    }
+    if (answered) last.answered += 1;
+    else last.failed += 1;
+  }
+
+  private mostAnswered(): boolean {
+    const sum = (of: 'answered' | 'failed'): number => this.polls.reduce((total, bucket) => total + bucket[of], 0);
+    return sum('answered') > sum('failed');
+  }
+
+  /** The day is over. */
+  close(): void {
+    if (this.submitted > 0 && this.started === 0) this.breach('nothing_ran', 'no task was started');
+  }
+}
--- /dev/null
+++ b/packages/region/src/day/schema.ts
@@ -0,0 +1,201 @@
+import * as v from 'valibot';
+
+const amount = v.pipe(v.number(), v.finite(), v.minValue(0));
+const positive = v.pipe(v.number(), v.finite(), v.gtValue(0));
+const count = v.pipe(v.number(), v.integer(), v.minValue(0));
+const some = v.pipe(v.number(), v.integer(), v.minValue(1));
+const share = v.pipe(v.number(), v.minValue(0), v.maxValue(1));
+const name = v.pipe(
+  v.string(),
+  v.regex(/^[A-Za-z0-9][A-Za-z0-9_-]{0,39}$/, 'must be a name of letters, digits, - and _'),
+);
+const maybe = <T extends v.GenericSchema>(schema: T, fallback: v.InferInput<T>) => v.optional(schema, fallback);
+
+const spread = v.pipe(
+  v.strictObject({ median: positive, p95: positive, max: positive }),
+  v.check((s) => s.median <= s.p95 && s.p95 <= s.max, 'median, p95 and max must not fall'),
+);
+
+const sizes = v.pipe(
+  v.strictObject({ sizes: v.pipe(v.array(some), v.minLength(1)), weights: v.array(positive) }),
+  v.check((s) => s.sizes.length === s.weights.length, 'as many weights as sizes'),
+);
+
+const aim = v.variant('kind', [
+  v.strictObject({ kind: v.literal('wait'), within_s: positive, share }),
+  v.strictObject({ kind: v.literal('finished'), within_s: positive, share }),
+  v.strictObject({ kind: v.literal('deadline'), share }),
+  v.strictObject({ kind: v.literal('up'), within_s: positive, share }),
+]);
+
+const jobClass = v.strictObject({
+  name,
+  shape: v.picklist(['array', 'gang', 'service']),
+  team: name,
+  priority: v.picklist(['production', 'urgent', 'standard', 'low']),
+  tasks: v.union([spread, sizes], 'must be { median, p95, max } or { sizes, weights }'),
+  cpus: positive,
+  gpus: maybe(amount, 0),
+  memory_gb: positive,
+  run_s: spread,
+  /** How far owners' estimates are off, as the 95th percentile of a factor less one. */
+  estimate_off: maybe(amount, 0.3),
+  images: maybe(v.strictObject({ count: some, gb: spread }), { count: 5, gb: { median: 1, p95: 2, max: 4 } }),
+  types: v.optional(v.pipe(v.array(name), v.minLength(1))),
+  zone: v.optional(name),
+  spot: maybe(v.boolean(), false),
+  one_zone: maybe(v.boolean(), false),
+  spread_zones: maybe(v.boolean(), false),
+  checkpoint_s: maybe(amount, 0),
+  save_s: maybe(amount, 0),
+  /** Deadline in multiples of the owner's estimate of a task, plus half a minute. */
+  deadline_factor: v.optional(positive),
+  initial: maybe(count, 0),
+  per_minute: maybe(amount, 0),
+  cancel_share: maybe(share, 0),
+  mistaken_share: maybe(share, 0),
+  aims: maybe(v.array(aim), []),
+});
+
+const at = { at_s: amount };
+const lasting = { ...at, for_s: positive };
+const machines = { share: v.optional(share), count: v.optional(some) };
+const controller = v.union([count, v.picklist(['leader', 'all'])], 'must be a number from 0, "leader" or "all"');
+const manner = v.optional(v.picklist(['hold', 'reset']), 'hold');
+
+/** Troubles at set times. Whatever lasts says for how long. */
+const trouble = v.variant('kind', [
+  v.strictObject({ kind: v.literal('burst'), ...lasting, class: name, times: positive }),
+  v.strictObject({ kind: v.literal('machines_die'), ...at, ...machines, zone: v.optional(name) }),
+  v.strictObject({ kind: v.literal('machines_hang'), ...lasting, ...machines, zone: v.optional(name) }),
+  v.strictObject({ kind: v.literal('machines_cut'), ...lasting, ...machines, zone: v.optional(name), manner }),
+  v.strictObject({ kind: v.literal('machines_fail_tasks'), ...lasting, ...machines, zone: v.optional(name) }),
+  v.strictObject({
+    kind: v.literal('machines_slow'),
+    ...lasting,
+    ...machines,
+    zone: v.optional(name),
+    times: v.pipe(v.number(), v.gtValue(1)),
+  }),
+  v.strictObject({ kind: v.literal('spot_wave'), ...at, share, notice: maybe(v.boolean(), true) }),
+  v.strictObject({ kind: v.literal('controller_crash'), ...at, controller, down_s: v.optional(positive) }),
+  v.strictObject({ kind: v.literal('controller_pause'), ...lasting, controller }),
+  v.strictObject({
+    kind: v.literal('controller_cut'),
+    ...lasting,
+    controller,
+    from: maybe(v.picklist(['all', 'state', 'workers', 'controllers', 'users']), 'all'),
+    manner,
+  }),
+  v.strictObject({ kind: v.literal('controller_refused'), ...lasting, controller }),
+  v.strictObject({ kind: v.literal('rolling_restart'), ...at, gap_s: positive }),
+  v.strictObject({ kind: v.literal('peers_refuse'), ...lasting }),
+  v.strictObject({ kind: v.literal('state_outage'), ...lasting }),
+  v.strictObject({ kind: v.literal('state_slow'), ...lasting, times: v.pipe(v.number(), v.gtValue(1)) }),
+  v.strictObject({ kind: v.literal('watch_forgets'), ...at }),
+  v.strictObject({ kind: v.literal('cloud_outage'), ...lasting }),
+  v.strictObject({ kind: v.literal('capacity_drop'), ...lasting, share }),
+  v.strictObject({ kind: v.literal('boots_late'), ...lasting, times: v.pipe(v.number(), v.gtValue(1)) }),
+  v.strictObject({ kind: v.literal('boots_never'), ...lasting, share }),
+  v.strictObject({ kind: v.literal('zone_cut'), ...lasting, zone: name, manner }),
+]);
+
+/** A day: the fleet, the classes and their arrivals, troubles at set times, seed. */
+export const daySchema = v.strictObject({
+  name,
+  seed: v.pipe(v.number(), v.integer(), v.minValue(0), v.maxValue(2 ** 31)),
+  duration_s: v.pipe(positive, v.maxValue(100_000)),
+  /** No job arrives in the last seconds, so that what was accepted can end. */
+  quiet_end_s: maybe(amount, 0),
+  zones: v.pipe(v.array(name), v.minLength(1)),
+  controllers: v.strictObject({
+    count: v.pipe(some, v.maxValue(9)),
+    restart_s: maybe(positive, 4),
+    max_connections: maybe(some, 2000),
+    skew_ms: maybe(amount, 50),
+    drift: maybe(v.pipe(v.number(), v.minValue(0), v.maxValue(0.0005)), 0.0005),
+  }),
+  network: maybe(
+    v.strictObject({
+      same_zone_ms: maybe(positive, 0.5),
+      cross_zone_ms: maybe(positive, 2),
+      jitter: maybe(v.pipe(v.number(), v.minValue(0), v.maxValue(0.9)), 0.25),
+    }),
+    {},
+  ),
+  state: maybe(
+    v.strictObject({
+      rps: maybe(positive, 200),
+      write_rps: maybe(positive, 40),
+      value_kb: maybe(positive, 32),
+      txn_ops: maybe(some, 16),
+      latency_ms: maybe(positive, 5),
+    }),
+    {},
+  ),
+  cloud: maybe(
+    v.strictObject({
+      rps: maybe(positive, 6),
+      latency_ms: maybe(positive, 150),
+      list_lag_s: maybe(amount, 5),
+      spot_losses_per_hour: maybe(amount, 0.5),
+      spot_notice_s: maybe(positive, 20),
+      spot_silent_share: maybe(share, 0.2),
+    }),
+    {},
+  ),
+  workers: maybe(
+    v.strictObject({
+      report_s: maybe(positive, 3),
+      lease_s: maybe(positive, 18),
+      gang_wait_s: maybe(positive, 45),
+      gang_peer_s: maybe(positive, 5),
+      cancel_s: maybe(positive, 45),
+    }),
+    {},
+  ),
+  teams: v.pipe(
+    v.array(
+      v.strictObject({
+        name,
+        cpus: maybe(amount, 0),
+        cpus_max: maybe(amount, 0),
+        gpus: maybe(amount, 0),
+        gpus_max: maybe(amount, 0),
+      }),
+    ),
+    v.minLength(1),
+  ),
+  machine_types: v.pipe(
+    v.array(
+      v.strictObject({
+        name,
+        cpus: positive,
+        gpus: maybe(amount, 0),
+        memory_gb: positive,
+        price: positive,
+        spot_price: positive,
+        cache_gb: maybe(positive, 40),
+        fetch_gb_per_s: maybe(positive, 0.5),
+        boot_s: positive,
+        boot_fail: maybe(share, 0.01),
+      }),
+    ),
+    v.minLength(1),
+  ),
+  capacity: v.pipe(
+    v.array(v.strictObject({ type: name, zone: name, ordinary: maybe(count, 0), spot: maybe(count, 0) })),
+    v.minLength(1),
+  ),
+  machines: maybe(
+    v.array(v.strictObject({ type: name, zone: name, spot: maybe(v.boolean(), false), count: some })),
+    [],
+  ),
+  classes: v.pipe(v.array(jobClass), v.minLength(1)),
+  troubles: maybe(v.array(trouble), []),
+});
+
+export type Day = v.InferOutput<typeof daySchema>;
+export type DayClass = Day['classes'][number];
+export type Trouble = Day['troubles'][number];
+export type Aim = DayClass['aims'][number];
--- /dev/null
+++ b/packages/region/src/models/users.ts
@@ -0,0 +1,260 @@
+import { isObject, type Answer, type Runtime } from '../../../../src/kernel/index.js';
+import type { Day, DayClass } from '../day/index.js';
+import { Luck } from '../sim/index.js';
+import type { Balancer, UserSession } from './balancer.js';
+import { JobTruth, type JobBook, type Submission } from './jobs.js';
+
+/** What users saw of one job. Times in milliseconds of true time. */
+export interface UserView {
+  readonly job: JobTruth;
+  readonly submittedAt: number;
+  acceptedAt: number | null;
+  /** Refused for good, or given up after a minute. */
+  refused: boolean;
+  cancelAskedAt: number | null;
+  toldDone: boolean;
+  toldCancelled: boolean;
+}
+
+/** Told what users do and what they are answered. */
+export interface UserWitness {
+  submits(job: JobTruth): void;
+  /** Any answer to a submission, the first or a repeated one. */
+  submitAnswered(ref: string, status: number, phase: unknown): void;
+  /** A poll's status, or null for one without an answer. */
+  polled(ref: string, status: number | null, phase: unknown): void;
+  cancelAsked(ref: string): void;
+  cancelAnswered(ref: string, status: number, phase: unknown): void;
+}
+
+export interface UserDeps {
+  readonly runtime: Runtime;
+  readonly now: () => number;
+  readonly luck: Luck;
+  readonly day: Day;
+  readonly balancer: Balancer;
+  readonly jobs: JobBook;
+  readonly checker: UserWitness;
+  readonly arrived: (view: UserView) => void;
+}
+
+const SHAPES = { array: 'sweep', gang: 'ensemble', service: 'daemon' } as const;
+const SUBMIT_TIMEOUT_MS = 5000;
+const POLL_TIMEOUT_MS = 2000;
+const POLL_EVERY_MS = 5000;
+const RETRY_MS = 1000;
+const LONGEST_RETRY_MS = 30_000;
+const GIVES_UP_MS = 60_000;
+const STRANGER_EVERY_MS = 15_000;
+const FIRST_JOBS_WITHIN_MS = 5000;
+/** Of accepted jobs, how many are submitted once more; and of those that are over, how many are asked about again. */
+const REPEATS = 0.03;
+const ASKS_AGAIN = 0.05;
+const LONGEST_LUCK = 20;
+
+const phaseOf = (answer: Answer): unknown =>
+  answer.kind === 'answered' && isObject(answer.body) ? answer.body['phase'] : undefined;
+
+/** Users, by the protocol: they submit, retry, poll, cancel, repeat themselves, and ask about jobs that never were. */
+export class UserModel {
+  private readonly factors = new Map<string, number>();
+  private readonly used = new Set<string>();
+  private ended = false;
+
+  constructor(private readonly deps: UserDeps) {}
+
+  /** How many times as often jobs of a class come. */
+  burst(jobClass: string, times: number): void {
+    this.factors.set(jobClass, times);
+  }
+
+  start(): void {
+    const { runtime, day, luck } = this.deps;
+    for (const jobClass of day.classes) {
+      for (let i = 0; i < jobClass.initial; i++)
+        runtime.after(luck.between(0, FIRST_JOBS_WITHIN_MS), () => void this.live(jobClass));
+    }
+    runtime.every(1000, () => this.second());
+    runtime.every(STRANGER_EVERY_MS, () => void this.stranger());
+  }
+
+  stop(): void {
+    this.ended = true;
+  }
+
+  private second(): void {
+    const { runtime, day, luck, now } = this.deps;
+    if (this.ended || now() > (day.duration_s - day.quiet_end_s) * 1000) return;
+    for (const jobClass of day.classes) {
+      const mean = (jobClass.per_minute / 60) * (this.factors.get(jobClass.name) ?? 1);
+      const arrivals = luck.poisson(mean);
+      for (let i = 0; i < arrivals; i++) runtime.after(luck.between(0, 1000), () => void this.live(jobClass));
+    }
+  }
+
+  private ref(): string {
+    for (;;) {
+      const ref = `j-${String(this.deps.luck.whole(1_000_000)).padStart(6, '0')}`;
+      if (this.used.has(ref)) continue;
+      this.used.add(ref);
+      return ref;
+    }
+  }
+
+  private draw(c: DayClass): JobTruth {
+    const { luck } = this.deps;
+    const ref = this.ref();
+    const own = luck.fork(ref);
+    const pieces =
+      'sizes' in c.tasks
+        ? (c.tasks.sizes[own.weighted(c.tasks.weights)] ?? 1)
+        : Math.max(1, Math.round(own.spread(c.tasks)));
+    const runS = own.spread(c.run_s);
+    const off = own.spread({ median: 1, p95: 1 + c.estimate_off, max: LONGEST_LUCK });
+    const expected = c.shape === 'service' ? 0 : runS * (own.chance(0.5) ? off : 1 / off);
+    const image = own.whole(c.images.count);
+    const spec: Submission = {
+      ref,
+      jobclass: c.name,
+      owner: c.team,
+      shape: SHAPES[c.shape],
+      urgency: c.priority,
+      pieces,
+      vcpus: c.cpus,
+      accelerators: c.gpus,
+      ram_gb: c.memory_gb,
+      bundle: `${c.name}-${image}`,
+      // Every job with the same image names the same size.
+      pull_gb: Math.round(new Luck(this.deps.day.seed, `${c.name}-${image}`).spread(c.images.gb) * 100) / 100,
+      hulls: c.types ?? null,
+      berth: c.zone ?? null,
+      same_place: c.one_zone,
+      scatter: c.spread_zones,
+      flotsam: c.spot,
+      expected_s: Math.round(expected * 10) / 10,
+      mark_every_s: c.checkpoint_s,
+      mark_cost_s: c.save_s,
+      due_s: c.deadline_factor === undefined ? null : Math.round(expected * c.deadline_factor + 30),
+    };
+    const runs = new Map<number, number>();
+    const runOf = (index: number): number => {
+      let run = runs.get(index);
+      if (run === undefined) runs.set(index, (run = runS * own.fork(String(index)).between(0.85, 1.2)));
+      return run;
+    };
+    return new JobTruth(spec, c.shape === 'service' ? () => runS : runOf, own.chance(c.mistaken_share));
+  }
+
+  /** One job, from its submission until its user no longer asks. */
+  private async live(c: DayClass): Promise<void> {
+    const { runtime, luck, checker, jobs, balancer, now } = this.deps;
+    const job = this.draw(c);
+    const { ref } = job.spec;
+    const own = luck.fork(`${ref} user`);
+    jobs.add(job);
+    checker.submits(job);
+    const view: UserView = {
+      ...{ job, submittedAt: now(), acceptedAt: null, refused: false },
+      ...{ cancelAskedAt: null, toldDone: false, toldCancelled: false },
+    };
+    this.deps.arrived(view);
+    const session = balancer.session();
+    try {
+      if (!(await this.submit(session, view))) return;
+      if (own.chance(REPEATS)) runtime.after(own.between(500, 20_000), () => void this.submitOnce(session, view));
+      if (c.shape === 'service') runtime.after(job.runS(0) * 1000, () => void this.cancel(session, view));
+      else if (job.mistaken || own.chance(c.cancel_share))
+        runtime.after(own.between(1000, 60_000), () => void this.cancel(session, view));
+      await this.follow(session, view, own);
+      if (!own.chance(ASKS_AGAIN)) return;
+      await runtime.sleep(own.between(5000, 60_000));
+      await this.poll(session, view);
+      await this.submitOnce(session, view);
+    } finally {
+      session.close();
+    }
+  }
+
+  /** Tries until it is accepted, refused for good, or a minute has gone. */
+  private async submit(session: UserSession, view: UserView): Promise<boolean> {
+    for (;;) {
+      const answer = await this.submitOnce(session, view);
+      if (view.acceptedAt !== null) return true;
+      const status = answer.kind === 'answered' ? answer.status : null;
+      if (status === 400 || status === 422) {
+        view.refused = true;
+        return false;
+      }
+      if (!(await this.pause(answer, view.submittedAt))) {
+        view.refused = true;
+        return false;
+      }
+    }
+  }
+
+  /** Waits as the answer says; false when a minute is over. */
+  private async pause(answer: Answer, since: number): Promise<boolean> {
+    const saidS = answer.kind === 'answered' ? answer.retryAfterS : null;
+    const ms = Math.min(LONGEST_RETRY_MS, Math.max(RETRY_MS, (saidS ?? 0) * 1000)) + this.deps.luck.between(0, 200);
+    if (this.deps.now() + ms - since > GIVES_UP_MS) return false;
+    await this.deps.runtime.sleep(ms);
+    return true;
+  }
+
+  private async submitOnce(session: UserSession, view: UserView): Promise<Answer> {
+    const { spec } = view.job;
+    const call = { method: 'POST', path: '/v1/jobs', body: spec, timeoutMs: SUBMIT_TIMEOUT_MS } as const;
+    const answer = await session.call(call);
+    if (answer.kind === 'answered') {
+      this.deps.checker.submitAnswered(spec.ref, answer.status, phaseOf(answer));
+      if (answer.status === 200 || answer.status === 201) view.acceptedAt ??= this.deps.now();
+    }
+    return answer;
+  }
+
+  private async follow(session: UserSession, view: UserView, own: Luck): Promise<void> {
+    while (!view.toldDone && !view.toldCancelled && !this.ended) {
+      await this.deps.runtime.sleep(POLL_EVERY_MS * own.between(0.8, 1.2));
+      await this.poll(session, view);
+    }
+  }
+
+  private async poll(session: UserSession, view: UserView): Promise<void> {
+    const { ref } = view.job.spec;
+    const answer = await session.call({ method: 'GET', path: `/v1/jobs/${ref}`, timeoutMs: POLL_TIMEOUT_MS });
+    const phase = phaseOf(answer);
+    this.deps.checker.polled(ref, answer.kind === 'answered' ? answer.status : null, phase);
+    if (phase === 'done') view.toldDone = true;
+    if (phase === 'withdrawn') view.toldCancelled = true;
+  }
+
+  private async cancel(session: UserSession, view: UserView): Promise<void> {
+    const { now, checker } = this.deps;
+    const { ref } = view.job.spec;
+    if (view.toldDone || view.toldCancelled || this.ended) return;
+    checker.cancelAsked(ref);
+    const askedAt = now();
+    view.cancelAskedAt = askedAt;
+    for (;;) {
+      const path = `/v1/jobs/${ref}/cancel`;
+      const answer = await session.call({ method: 'POST', path, body: {}, timeoutMs: SUBMIT_TIMEOUT_MS });
+      if (answer.kind === 'answered') checker.cancelAnswered(ref, answer.status, phaseOf(answer));
+      if (answer.kind === 'answered' && answer.status === 200) {
+        if (phaseOf(answer) === 'withdrawn') view.toldCancelled = true;
+        else view.toldDone = true;
+        return;
+      }
+      // Nobody gives up cancelling: a job that may run on costs money.
+      if (!(await this.pause(answer, now())) || this.ended) return;
+    }
+  }
+
+  private async stranger(): Promise<void> {
+    if (this.ended) return;
+    const ref = `j-x${String(this.deps.luck.whole(1_000_000)).padStart(6, '0')}`;
+    const session = this.deps.balancer.session();
+    const answer = await session.call({ method: 'GET', path: `/v1/jobs/${ref}`, timeoutMs: POLL_TIMEOUT_MS });
+    this.deps.checker.polled(ref, answer.kind === 'answered' ? answer.status : null, phaseOf(answer));
+    session.close();
+  }
+}
--- /dev/null
+++ b/packages/region/src/parts.ts
@@ -0,0 +1,217 @@
+import type { Endpoint, Logger, Runtime } from '../../../src/kernel/index.js';
+import { RuleChecker, type Breach } from './checker/index.js';
+import type { Day } from './day/index.js';
+import { Daybook } from './daybook.js';
+import { Balancer, CloudModel, GangBook, JobBook, StateModel, UserModel, WorkerModel } from './models/index.js';
+import type { Cause, JobTruth, Machine, TaskWatch, WorkerFacts } from './models/index.js';
+import type { Luck } from './sim/index.js';
+
+/** Where a model runs: a simulated host, or this machine's loopback. */
+export interface Seat {
+  readonly runtime: Runtime;
+  /** Goes on while `runtime` stands still. */
+  readonly watchdog: Runtime;
+  readonly at: Endpoint;
+  /** The machine is gone, without a word. */
+  close(): void;
+}
+
+export interface Place {
+  seat(name: string, zone: string | null): Seat;
+  /** True time in milliseconds since the day began. */
+  now(): number;
+}
+
+export interface ControllerSeat {
+  readonly name: string;
+  readonly zone: string;
+  readonly serveOn: Endpoint;
+  readonly peerOn: Endpoint;
+}
+
+export interface HeldWorker {
+  readonly model: WorkerModel;
+  readonly seat: Seat;
+}
+
+export interface PartsOptions {
+  readonly day: Day;
+  readonly luck: Luck;
+  readonly place: Place;
+  readonly log: Logger;
+  readonly controllers: readonly ControllerSeat[];
+  /** Told of everything that happens, in words. */
+  readonly note: (what: string) => void;
+  readonly broken?: (breach: Breach) => void;
+}
+
+const workerFacts = ({ workers: w }: Day): WorkerFacts => ({
+  ...{ reportS: w.report_s, leaseS: w.lease_s, cancelS: w.cancel_s },
+  ...{ gangWaitS: w.gang_wait_s, gangPeerS: w.gang_peer_s },
+});
+
+/** All models of a region but its controllers, put together; in simulated time or on real sockets. */
+export class RegionParts implements TaskWatch {
+  readonly state: StateModel;
+  readonly cloud: CloudModel;
+  readonly users: UserModel;
+  readonly balancer: Balancer;
+  readonly checker: RuleChecker;
+  readonly daybook: Daybook;
+  readonly jobs = new JobBook();
+  /** By machine. */
+  readonly workers = new Map<string, HeldWorker>();
+  readonly stateSeat: Seat;
+  readonly cloudSeat: Seat;
+  readonly userSeat: Seat;
+  private readonly gangs: GangBook;
+  private readonly facts: WorkerFacts;
+  private ready: Promise<readonly number[]> = Promise.resolve([]);
+
+  constructor(private readonly options: PartsOptions) {
+    const { day, luck, place } = options;
+    this.facts = workerFacts(day);
+    this.stateSeat = place.seat('state', null);
+    this.cloudSeat = place.seat('cloud', null);
+    this.userSeat = place.seat('users', null);
+    const { runtime } = this.userSeat;
+    const now = (): number => place.now();
+    this.checker = new RuleChecker(
+      now,
+      new Map(day.teams.map((team) => [team.name, { cpusMax: team.cpus_max, gpusMax: team.gpus_max }])),
+      this.facts.cancelS,
+      (ms, work) => runtime.after(ms, work),
+      (breach) => {
+        options.note(`broken ${breach.rule}: ${breach.what}`);
+        options.broken?.(breach);
+      },
+    );
+    this.daybook = new Daybook(day, now);
+    const { state, cloud } = day;
+    this.state = new StateModel(this.stateSeat.runtime, luck.fork('state'), {
+      ...{ rps: state.rps, writeRps: state.write_rps, valueKb: state.value_kb },
+      ...{ txnOps: state.txn_ops, latencyMs: state.latency_ms },
+    });
+    this.cloud = new CloudModel(
+      this.cloudSeat.runtime,
+      luck.fork('cloud'),
+      {
+        ...{ rps: cloud.rps, latencyMs: cloud.latency_ms, listLagS: cloud.list_lag_s },
+        spot: {
+          perHour: cloud.spot_losses_per_hour,
+          noticeS: cloud.spot_notice_s,
+          silentShare: cloud.spot_silent_share,
+        },
+        types: day.machine_types.map((t) => ({
+          ...{ name: t.name, cpus: t.cpus, gpus: t.gpus, memoryGb: t.memory_gb, price: t.price },
+          ...{ spotPrice: t.spot_price, cacheGb: t.cache_gb, fetchGbPerS: t.fetch_gb_per_s },
+          ...{ bootS: t.boot_s, bootFail: t.boot_fail },
+        })),
+        capacity: day.capacity,
+      },
+      { up: (machine) => this.up(machine), gone: (machine) => this.gone(machine) },
+    );
+    this.gangs = new GangBook(this.cloudSeat.runtime, luck.fork('gangs'), {
+      ...{ waitS: this.facts.gangWaitS, peerS: this.facts.gangPeerS },
+    });
+    this.balancer = new Balancer(
+      runtime,
+      options.controllers.map(({ serveOn }) => serveOn),
+    );
+    this.users = new UserModel({
+      ...{ runtime, now, luck: luck.fork('users'), day, balancer: this.balancer, jobs: this.jobs },
+      checker: this.checker,
+      arrived: (view) => {
+        const { ref, jobclass, pieces } = view.job.spec;
+        options.note(`arrives ${ref} ${jobclass} ${pieces}`);
+        this.daybook.arrived(view);
+      },
+    });
+  }
+
+  /** Opens the services' listeners and brings the first machines up. Resolves to the ports of state and cloud. */
+  start(): Promise<readonly number[]> {
+    const { log, day } = this.options;
+    const state = this.state.listen(this.stateSeat.at, log);
+    const cloud = this.cloud.listen(this.cloudSeat.at, log);
+    for (const { type, zone, spot, count } of day.machines) this.cloud.begin(type, zone, spot, count);
+    this.ready = Promise.all([state.ready, cloud.ready]);
+    return this.ready;
+  }
+
+  /** Users come, and the balancer looks after the nodes. */
+  open(): void {
+    this.balancer.start();
+    this.users.start();
+  }
+
+  // ---- machines
+
+  private up(machine: Machine): void {
+    const { place, luck, log, controllers, note } = this.options;
+    const seat = place.seat(machine.id, machine.zone);
+    const model = new WorkerModel(machine, {
+      runtime: seat.runtime,
+      watchdog: seat.watchdog,
+      luck: luck.fork(machine.id),
+      log,
+      facts: this.facts,
+      controllers: controllers.map(({ name, serveOn }) => ({ name, at: serveOn })),
+      jobs: this.jobs,
+      gangs: this.gangs,
+      watch: this,
+      noticeS: () =>
+        machine.takenAt === null ? null : Math.max(0, machine.takenAt - this.cloudSeat.runtime.now()) / 1000,
+    });
+    this.workers.set(machine.id, { model, seat });
+    note(`up ${machine.id} ${machine.type.name} ${machine.zone}${machine.spot ? ' spot' : ''}`);
+    const { ready } = model.listen(seat.at);
+    void ready.then((port) => model.start(`${seat.at.host}:${port}`));
+  }
+
+  private gone(machine: Machine): void {
+    const held = this.workers.get(machine.id);
+    if (!held) return;
+    this.workers.delete(machine.id);
+    this.options.note(`gone ${machine.id} ${machine.fate}`);
+    held.model.end();
+    held.seat.close();
+  }
+
+  // ---- tasks
+
+  entered(machine: Machine, job: JobTruth, index: number, attempt: number): void {
+    this.options.note(`on ${job.spec.ref}/${index} ${attempt} ${machine.id}`);
+    this.checker.entered(machine, job, index, attempt);
+  }
+
+  running(machine: Machine, job: JobTruth, index: number): void {
+    this.options.note(`runs ${job.spec.ref}/${index} ${machine.id}`);
+    this.daybook.running(machine, job, index);
+  }
+
+  left(machine: Machine, job: JobTruth, index: number, attempt: number, cause: Cause | 'killed'): void {
+    this.options.note(`off ${job.spec.ref}/${index} ${attempt} ${machine.id} ${cause}`);
+    this.checker.left(machine, job, index);
+    this.daybook.left(machine, job, index, attempt, cause);
+  }
+
+  /** What the useful work of all jobs costs at the lowest nominal price that its class allows. */
+  usefulCost(): number {
+    let cost = 0;
+    for (const { spec, usefulS } of this.jobs.all) {
+      let least = Number.POSITIVE_INFINITY;
+      for (const type of this.options.day.machine_types) {
+        if (spec.hulls && !spec.hulls.includes(type.name)) continue;
+        const part = Math.max(
+          spec.vcpus / type.cpus,
+          spec.ram_gb / type.memory_gb,
+          spec.accelerators === 0 ? 0 : type.gpus === 0 ? Number.POSITIVE_INFINITY : spec.accelerators / type.gpus,
+        );
+        if (part <= 1) least = Math.min(least, part * (spec.flotsam ? type.spot_price : type.price));
+      }
+      if (Number.isFinite(least)) cost += (usefulS / 3600) * least;
+    }
+    return cost;
+  }
+}
--- /dev/null
+++ b/packages/region/src/region.ts
@@ -0,0 +1,236 @@
+import { sha256 } from '@noble/hashes/sha2.js';
+import { bytesToHex, utf8ToBytes } from '@noble/hashes/utils.js';
+import { pino } from 'pino';
+import { parseSettings } from '../../../src/config/index.js';
+import { isObject, type Logger } from '../../../src/kernel/index.js';
+import { Service } from '../../../src/service/index.js';
+import type { Breach } from './checker/index.js';
+import { Controller } from './controller.js';
+import type { Day } from './day/index.js';
+import type { ClassResult } from './daybook.js';
+import { RegionParts, type ControllerSeat, type Place, type Seat } from './parts.js';
+import { settingsFor } from './settings.js';
+import { Luck, Network, rest, SimProcess, World } from './sim/index.js';
+import { playTrouble, type Troubled } from './troubles.js';
+
+const STATE = { host: '10.2.0.1', port: 2379 };
+const CLOUD = { host: '10.2.0.2', port: 8443 };
+const USERS = { host: '10.3.0.1', port: 80 };
+const WORKER_PORT = 9000;
+const MOST_LOG_BYTES = 64 * 1024 * 1024;
+
+export interface RegionOptions {
+  readonly day: Day;
+  /** Instead of the day's own. */
+  readonly seed?: number;
+  /** Logs of the controllers; silent when not given. */
+  readonly controllerLog?: { readonly level: string; readonly write: (line: string) => void };
+  /** Each line of the event log. */
+  readonly event?: (line: string) => void;
+  readonly broken?: (breach: Breach) => void;
+  /** For tests: what the controllers are told, instead of what is true. */
+  readonly settings?: (toml: string) => string;
+}
+
+export interface PlayOptions {
+  /** Called when simulated time has moved on; may wait, to keep to a pace. */
+  readonly moved?: (nowMs: number) => Promise<void> | undefined;
+  readonly stop?: () => boolean;
+}
+
+export interface DayResult {
+  readonly day: string;
+  readonly seed: number;
+  readonly simulatedS: number;
+  readonly classes: readonly ClassResult[];
+  readonly money: { readonly spent: number; readonly usefulCost: number; readonly price: number | null };
+  readonly machines: CloudCounts;
+  readonly state: { readonly requests: number; readonly changes: number; readonly refused: number };
+  readonly controllerStarts: number;
+  readonly breaches: readonly Breach[];
+  readonly defects: readonly string[];
+  readonly open: readonly string[];
+  readonly events: number;
+  /** SHA-256 of the event log. */
+  readonly digest: string;
+}
+
+type CloudCounts = RegionParts['cloud']['counts'];
+
+/** A whole region in simulated time: wooddrift's own controllers, unchanged, among models of all else. */
+export class Region implements Troubled {
+  readonly world = new World();
+  readonly network: Network;
+  readonly parts: RegionParts;
+  readonly controllers: readonly Controller[];
+  readonly luck: Luck;
+  readonly day: Day;
+  readonly seed: number;
+  private readonly processes = new Map<string, SimProcess>();
+  private readonly log: Logger = pino({ level: 'silent' });
+  private readonly hash = sha256.create();
+  private events = 0;
+  private bytes = 0;
+  private nextWorker = 0;
+
+  constructor(private readonly options: RegionOptions) {
+    const { day } = options;
+    this.day = day;
+    this.seed = options.seed ?? day.seed;
+    this.luck = new Luck(this.seed, day.name);
+    const { network: n } = day;
+    this.network = new Network(
+      this.world,
+      { sameZoneMs: n.same_zone_ms, crossZoneMs: n.cross_zone_ms, jitter: n.jitter },
+      this.luck.fork('network'),
+    );
+    const seats = Array.from({ length: day.controllers.count }, (_, i): ControllerSeat => {
+      const host = `10.0.0.${i + 1}`;
+      return {
+        name: `node-${i}`,
+        zone: day.zones[i % day.zones.length] ?? '',
+        serveOn: { host, port: 8080 },
+        peerOn: { host, port: 8081 },
+      };
+    });
+    const place: Place = {
+      seat: (name, zone) => this.seat(name, zone),
+      now: () => this.world.now,
+    };
+    this.parts = new RegionParts({
+      ...{ day, luck: this.luck, place, log: this.log, controllers: seats },
+      note: (what) => this.note(what),
+      ...(options.broken ? { broken: options.broken } : {}),
+    });
+    this.controllers = seats.map((seat) => {
+      const host = this.network.host(seat.serveOn.host, seat.zone);
+      return new Controller(seat, host, (controller) => this.launch(controller, seats));
+    });
+  }
+
+  get now(): number {
+    return this.world.now;
+  }
+
+  /** One line of the event log. */
+  note(what: string): void {
+    this.events += 1;
+    const line = `${this.world.now.toFixed(3)} ${what}\n`;
+    this.hash.update(utf8ToBytes(line));
+    this.bytes += line.length;
+    if (this.bytes <= MOST_LOG_BYTES) this.options.event?.(line);
+  }
+
+  private seat(name: string, zone: string | null): Seat {
+    const fixed = { state: STATE, cloud: CLOUD, users: USERS }[name];
+    const n = fixed ? 0 : this.nextWorker++;
+    const at = fixed ?? { host: `10.1.${n >> 8}.${n & 255}`, port: WORKER_PORT };
+    const host = this.network.host(at.host, zone);
+    const luck = this.luck.fork(`process ${name}`);
+    // The models' clocks are true, but for the workers', which drift as those of all machines do.
+    const drift = fixed ? 0 : luck.between(-1, 1) * this.day.controllers.drift;
+    const clocks = { drift, wanderMs: 0 };
+    const process = new SimProcess(name, host, this.world, this.network, luck, clocks);
+    const watchdog = new SimProcess(`${name} watchdog`, host, this.world, this.network, luck, clocks);
+    this.processes.set(name, process);
+    return {
+      ...{ runtime: process, watchdog, at },
+      close: () => {
+        this.network.remove(host);
+        process.kill();
+        watchdog.kill();
+        this.processes.delete(name);
+      },
+    };
+  }
+
+  /** The process of a machine's worker. */
+  processOf(machine: string): SimProcess | undefined {
+    return this.processes.get(machine);
+  }
+
+  private launch(controller: Controller, seats: readonly ControllerSeat[]): { process: SimProcess; service: Service } {
+    const { day, settings, controllerLog } = this.options;
+    const { seat, host, starts } = controller;
+    const luck = this.luck.fork(`${seat.name} ${starts}`);
+    const clocks = { drift: luck.between(0, 1) * day.controllers.drift, wanderMs: day.controllers.skew_ms / 2 };
+    const { max_connections: most } = day.controllers;
+    const process = new SimProcess(seat.name, host, this.world, this.network, luck, clocks, most);
+    const toml = settingsFor(day, seat, seats, { state: STATE, cloud: CLOUD });
+    const log: Logger = controllerLog
+      ? pino(
+          {
+            level: controllerLog.level,
+            base: { node: seat.name },
+            timestamp: () => `,"time":${(this.world.now / 1000).toFixed(3)}`,
+          },
+          { write: (line: string) => controllerLog.write(line) },
+        )
+      : this.log;
+    const service = new Service(parseSettings(settings ? settings(toml) : toml), log, process);
+    this.note(`starts ${seat.name}`);
+    return { process, service };
+  }
+
+  /** Ends a controller, and starts it again after so long. */
+  crash(controller: Controller, downS: number): void {
+    if (!controller.process) return;
+    this.note(`ends ${controller.seat.name}`);
+    controller.crash();
+    this.world.plan(this.world.now + downS * 1000, () => controller.start());
+  }
+
+  /** The controller that leads, by what the state service holds. */
+  get leader(): Controller | undefined {
+    const value = this.parts.state.get('live/leader');
+    const name = isObject(value) ? value['node'] : undefined;
+    return this.controllers.find(({ seat }) => seat.name === name);
+  }
+
+  private begin(): void {
+    void this.parts.start();
+    for (const controller of this.controllers) controller.start();
+    this.parts.open();
+    for (const trouble of this.day.troubles) this.world.plan(trouble.at_s * 1000, () => playTrouble(trouble, this));
+  }
+
+  private begun = false;
+
+  /** Plays up to a moment, in seconds of true time since the day began. */
+  async play(untilS = this.day.duration_s, options: PlayOptions = {}): Promise<void> {
+    if (!this.begun) {
+      this.begun = true;
+      this.world.plan(0, () => this.begin());
+    }
+    await this.world.run(untilS * 1000, { rest, ...options });
+  }
+
+  /** The day's figures. Nothing can be played after this. */
+  close(): DayResult {
+    const { parts } = this;
+    parts.users.stop();
+    parts.checker.close();
+    const classes = parts.daybook.close();
+    const { open } = parts.daybook;
+    for (const { model } of parts.workers.values()) model.end();
+    const spent = parts.cloud.settle();
+    const usefulCost = parts.usefulCost();
+    return {
+      day: this.day.name,
+      seed: this.seed,
+      simulatedS: this.world.now / 1000,
+      classes,
+      money: { spent, usefulCost, price: usefulCost > 0 ? spent / usefulCost : null },
+      machines: parts.cloud.counts,
+      state: parts.state.counts,
+      controllerStarts: this.controllers.reduce((sum, { starts }) => sum + starts, 0),
+      breaches: parts.checker.breaches,
+      defects: this.world.defects.map((error) =>
+        error instanceof Error ? (error.stack ?? error.message) : String(error),
+      ),
+      open,
+      events: this.events,
+      digest: bytesToHex(this.hash.digest()),
+    };
+  }
+}
--- /dev/null
+++ b/packages/region/src/settings.ts
@@ -0,0 +1,49 @@
+import { stringify } from 'smol-toml';
+import type { Endpoint } from '../../../src/kernel/index.js';
+import type { Day } from './day/index.js';
+import type { ControllerSeat } from './parts.js';
+
+const text = ({ host, port }: Endpoint): string => `${host}:${port}`;
+
+const objectives = (day: Day): unknown[] =>
+  day.classes.flatMap((c) =>
+    c.aims.map((aim) => ({
+      kind: aim.kind,
+      class: c.name,
+      ...('within_s' in aim ? { within_s: aim.within_s } : {}),
+      share: aim.share,
+    })),
+  );
+
+/** The settings file (TOML) that the platform hands to one controller. */
+export function settingsFor(
+  day: Day,
+  self: ControllerSeat,
+  all: readonly ControllerSeat[],
+  services: { readonly state: Endpoint; readonly cloud: Endpoint },
+): string {
+  return stringify({
+    node: self.name,
+    area: self.zone,
+    serve_on: text(self.serveOn),
+    cluster_listen: text(self.peerOn),
+    seeds: all
+      .filter((other) => other !== self)
+      .map((other) => ({ node: other.name, area: other.zone, peer_addr: text(other.peerOn) })),
+    services: { cloud: text(services.cloud), state: text(services.state) },
+    facts: {
+      nodes: all.length,
+      zones: day.zones,
+      skew_ms: day.controllers.skew_ms,
+      teams: day.teams,
+      objectives: objectives(day),
+      workers: day.workers,
+      state: {
+        ...{ rps: day.state.rps, write_rps: day.state.write_rps },
+        ...{ value_kb: day.state.value_kb, txn_ops: day.state.txn_ops },
+      },
+      cloud: { rps: day.cloud.rps, list_lag_s: day.cloud.list_lag_s },
+      machine_limits: { max_connections: day.controllers.max_connections },
+    },
+  });
+}
--- /dev/null
+++ b/packages/region/src/sim/index.ts
@@ -0,0 +1,5 @@
+export * from './luck.js';
+export * from './network.js';
+export * from './process.js';
+export * from './world.js';
+export * from './rest.js';
--- /dev/null
+++ b/packages/region/src/troubles.ts
@@ -0,0 +1,196 @@
+import type { Day, Trouble } from './day/index.js';
+import type { Machine } from './models/index.js';
+import type { Controller } from './controller.js';
+import type { RegionParts } from './parts.js';
+import type { Cut, CutKind, Host, Luck, Network, SimProcess, World } from './sim/index.js';
+
+type Of<K extends Trouble['kind']> = Extract<Trouble, { kind: K }>;
+
+const isWorker = (host: Host): boolean => host.ip.startsWith('10.1.');
+const isController = (host: Host): boolean => host.ip.startsWith('10.0.');
+
+/** What troubles reach into. */
+export interface Troubled {
+  readonly day: Day;
+  readonly parts: RegionParts;
+  readonly network: Network;
+  readonly world: World;
+  readonly luck: Luck;
+  readonly controllers: readonly Controller[];
+  readonly leader: Controller | undefined;
+  note(what: string): void;
+  /** The process of a machine's worker. */
+  processOf(machine: string): SimProcess | undefined;
+  /** Ends a controller, and starts it again after so many seconds. */
+  crash(controller: Controller, downS: number): void;
+}
+
+/** What a controller is cut off from. */
+const SIDES: Record<Of<'controller_cut'>['from'], (other: Host) => boolean> = {
+  all: () => true,
+  state: (other) => other.ip === '10.2.0.1',
+  users: (other) => other.ip === '10.3.0.1',
+  workers: isWorker,
+  controllers: isController,
+};
+
+interface Drawn {
+  readonly count?: number | undefined;
+  readonly share?: number | undefined;
+  readonly zone?: string | undefined;
+}
+
+/** Machines that are up, drawn by count or share. */
+function drawn(region: Troubled, { count, share, zone }: Drawn): Machine[] {
+  const up = region.parts.cloud.up.filter((machine) => zone === undefined || machine.zone === zone);
+  return region.luck.fork(`drawn ${region.world.now}`).some(up, count ?? Math.round(up.length * (share ?? 0)));
+}
+
+function controllersOf(region: Troubled, which: number | 'leader' | 'all'): readonly Controller[] {
+  if (which === 'all') return region.controllers;
+  const one = which === 'leader' ? region.leader : region.controllers[which];
+  return one ? [one] : [];
+}
+
+/** Lets a trouble begin, and plans its end. */
+export function playTrouble(trouble: Trouble, region: Troubled): void {
+  const { day, parts, network, world } = region;
+  region.note(`trouble ${trouble.kind}`);
+  const after = (seconds: number, work: () => void): void => {
+    world.plan(world.now + seconds * 1000, () => {
+      region.note(`over ${trouble.kind}`);
+      work();
+    });
+  };
+  const cutFor = (seconds: number, kind: CutKind, between: Cut['between']): void => {
+    const cut: Cut = { kind, between };
+    network.cut(cut);
+    after(seconds, () => network.heal(cut));
+  };
+  const workersOf = (chosen: readonly Machine[]) =>
+    chosen.flatMap((machine) => {
+      const held = parts.workers.get(machine.id);
+      return held ? [held.model] : [];
+    });
+
+  switch (trouble.kind) {
+    case 'burst':
+      parts.users.burst(trouble.class, trouble.times);
+      after(trouble.for_s, () => parts.users.burst(trouble.class, 1));
+      break;
+    case 'machines_die':
+      for (const machine of drawn(region, trouble)) parts.cloud.die(machine);
+      break;
+    case 'machines_hang': {
+      const chosen = workersOf(drawn(region, trouble));
+      for (const worker of chosen) {
+        worker.pause();
+        region.processOf(worker.machine.id)?.freeze();
+      }
+      after(trouble.for_s, () => {
+        for (const worker of chosen) {
+          if (!parts.workers.has(worker.machine.id)) continue;
+          worker.resume();
+          region.processOf(worker.machine.id)?.thaw();
+        }
+      });
+      break;
+    }
+    case 'machines_cut': {
+      const hosts = new Set(
+        drawn(region, trouble).flatMap((machine) => {
+          const process = region.processOf(machine.id);
+          return process ? [process.host] : [];
+        }),
+      );
+      cutFor(trouble.for_s, trouble.manner, (a, b) => hosts.has(a) && !hosts.has(b));
+      break;
+    }
+    case 'machines_fail_tasks': {
+      const chosen = workersOf(drawn(region, trouble));
+      for (const worker of chosen) worker.failsTasks = true;
+      after(trouble.for_s, () => {
+        for (const worker of chosen) worker.failsTasks = false;
+      });
+      break;
+    }
+    case 'machines_slow': {
+      const chosen = workersOf(drawn(region, trouble));
+      for (const worker of chosen) worker.slowness = trouble.times;
+      after(trouble.for_s, () => {
+        for (const worker of chosen) worker.slowness = 1;
+      });
+      break;
+    }
+    case 'spot_wave': {
+      const spot = parts.cloud.up.filter((machine) => machine.spot);
+      const luck = region.luck.fork(`wave ${region.world.now}`);
+      for (const machine of luck.some(spot, Math.round(spot.length * trouble.share)))
+        parts.cloud.takeBack(machine, trouble.notice);
+      break;
+    }
+    case 'controller_crash':
+      for (const controller of controllersOf(region, trouble.controller))
+        region.crash(controller, trouble.down_s ?? day.controllers.restart_s);
+      break;
+    case 'controller_pause': {
+      const chosen = controllersOf(region, trouble.controller).flatMap(({ process }) => (process ? [process] : []));
+      for (const process of chosen) process.freeze();
+      after(trouble.for_s, () => {
+        for (const process of chosen) process.thaw();
+      });
+      break;
+    }
+    case 'controller_cut': {
+      const hosts = new Set(controllersOf(region, trouble.controller).map(({ host }) => host));
+      const side = SIDES[trouble.from];
+      cutFor(trouble.for_s, trouble.manner, (a, b) => hosts.has(a) && !hosts.has(b) && side(b));
+      break;
+    }
+    case 'controller_refused': {
+      const chosen = controllersOf(region, trouble.controller).map(({ host }) => host.ip);
+      for (const ip of chosen) parts.state.refuse(ip, true);
+      after(trouble.for_s, () => {
+        for (const ip of chosen) parts.state.refuse(ip, false);
+      });
+      break;
+    }
+    case 'rolling_restart':
+      for (const [i, controller] of region.controllers.entries())
+        world.plan(world.now + i * trouble.gap_s * 1000, () => region.crash(controller, day.controllers.restart_s));
+      break;
+    case 'peers_refuse':
+      cutFor(trouble.for_s, 'refuse', (a, b) => isController(a) && isController(b));
+      break;
+    case 'state_outage':
+      parts.state.outage(true);
+      after(trouble.for_s, () => parts.state.outage(false));
+      break;
+    case 'state_slow':
+      parts.state.slowness = trouble.times;
+      after(trouble.for_s, () => (parts.state.slowness = 1));
+      break;
+    case 'watch_forgets':
+      parts.state.forget();
+      break;
+    case 'cloud_outage':
+      parts.cloud.outage(true);
+      after(trouble.for_s, () => parts.cloud.outage(false));
+      break;
+    case 'capacity_drop':
+      parts.cloud.capacityShare = 1 - trouble.share;
+      after(trouble.for_s, () => (parts.cloud.capacityShare = 1));
+      break;
+    case 'boots_late':
+      parts.cloud.bootFactor = trouble.times;
+      after(trouble.for_s, () => (parts.cloud.bootFactor = 1));
+      break;
+    case 'boots_never':
+      parts.cloud.neverShare = trouble.share;
+      after(trouble.for_s, () => (parts.cloud.neverShare = 0));
+      break;
+    case 'zone_cut':
+      cutFor(trouble.for_s, trouble.manner, (a, b) => a.zone === trouble.zone && b.zone !== trouble.zone);
+      break;
+  }
+}
--- a/src/kernel/head.ts
+++ b/src/kernel/head.ts
@@ -44,9 +44,12 @@
   readonly length: number | null;
   readonly chunked: boolean;
   readonly close: boolean;
+  /** When to come back, in seconds, where a refusal says so. */
+  readonly retryAfterS: number | null;
 }
 
 const RESPONSE = /^HTTP\/1\.[01] (\d{3})[^\r\n]*\r\n/;
+const RETRY_AFTER = /\r\nretry-after:[ \t]*(\d{1,6})[ \t]*\r\n/i;
 const CHUNKED = /\r\ntransfer-encoding:[ \t]*chunked[ \t]*\r\n/i;
 
 /** Reads a response's head that ends at `end`; null when it is none. */
@@ -60,7 +63,9 @@
   const found = chunked ? null : LENGTH.exec(text);
   const length = found ? Number(found[1]) : status === 204 || status === 304 ? 0 : null;
   const close = CLOSE.test(text) || text.startsWith('HTTP/1.0') || (length === null && !chunked);
-  return { status, bodyAt: end + 4, length, chunked, close };
+  const again = status === 429 || status === 503 ? RETRY_AFTER.exec(text)?.[1] : undefined;
+  const retryAfterS = again === undefined ? null : Number(again);
+  return { status, bodyAt: end + 4, length, chunked, close, retryAfterS };
 }
 
 /** Joins a body that came in chunks; null while it isn't whole, or when it is malformed. */
--- a/src/kernel/http.ts
+++ b/src/kernel/http.ts
@@ -4,7 +4,7 @@
 
 /** What came of an outgoing request: an answer, or a failure whose effect is unknown when it was sent. */
 export type Answer =
-  | { readonly kind: 'answered'; readonly status: number; readonly body: unknown }
+  | { readonly kind: 'answered'; readonly status: number; readonly body: unknown; readonly retryAfterS: number | null }
   | { readonly kind: 'failed'; readonly reason: string };
 
 export interface Address {
@@ -138,7 +138,7 @@
     let answer: Answer;
     try {
       const value = body.length === 0 ? null : (JSON.parse(body.toString('utf8')) as unknown);
-      answer = { kind: 'answered', status: head.status, body: value };
+      answer = { kind: 'answered', status: head.status, body: value, retryAfterS: head.retryAfterS };
     } catch {
       answer = failed('answer is not JSON');
     }
--- a/src/kernel/runtime.ts
+++ b/src/kernel/runtime.ts
@@ -6,6 +6,8 @@
 export interface Connection extends Duplex {
   /** Milliseconds of silence until 'timeout'; 0 or undefined: none. */
   readonly timeout?: number | undefined;
+  /** The other side's IP number, where it is known. */
+  readonly remoteAddress?: string | undefined;
   setTimeout(ms: number, callback?: () => void): this;
   setNoDelay(on?: boolean): this;
 }
