--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,11 +2,11 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['target/', 'node_modules/'] },
+  { ignores: ['target/', 'node_modules/', '**/node_modules/'] },
   js.configs.recommended,
   ...tseslint.configs.strict,
   {
-    languageOptions: { globals: { process: 'readonly', console: 'readonly' } },
+    languageOptions: { globals: { process: 'readonly', console: 'readonly', performance: 'readonly', setTimeout: 'readonly' } },
     rules: {
       'no-restricted-imports': [
         'error',
@@ -14,7 +14,7 @@
           patterns: [
             {
               // A slice is imported through its index.ts only.
-              regex: '^(?:\\.\\./)+(?:src/[a-z]+|(?!src/)[a-z]+)/(?!index\\.js$)',
+              regex: '^(?:\\.\\./)+(?:src/[a-z]+|(?!src/|packages/)[a-z]+|packages/[a-z-]+/src/[a-z]+)/(?!index\\.js$)',
               message: 'import a slice through its index.js',
             },
           ],
--- /dev/null
+++ b/packages/region/src/hunt/index.ts
@@ -0,0 +1,1 @@
+export * from './hunt.js';
--- a/packages/region/src/models/serve.ts
+++ b/packages/region/src/models/serve.ts
@@ -1,4 +1,11 @@
-import { Lane, type Endpoint, type Listening, type Logger, type Runtime } from '../../../../src/kernel/index.js';
+import {
+  Lane,
+  type Connection,
+  type Endpoint,
+  type Listening,
+  type Logger,
+  type Runtime,
+} from '../../../../src/kernel/index.js';
 
 export interface Answer {
   readonly status: number;
@@ -27,17 +34,20 @@
   }
 }
 
-/** Serves JSON over HTTP/1.1 by the service's own lane: on simulated sockets or real ones. */
+/** Serves JSON over HTTP/1.1 by the service's own lane, on simulated sockets or real ones. Closing it breaks its connections. */
 export function serveJson(
   runtime: Runtime,
   at: Endpoint,
   log: Logger,
   answer: (request: Request) => Answer | Promise<Answer>,
 ): Listening {
-  return runtime.listen({
+  const open = new Set<Connection>();
+  const listening = runtime.listen({
     ...at,
     allowHalfOpen: true,
     accept: (connection) => {
+      open.add(connection);
+      connection.on('close', () => open.delete(connection));
       const from = connection.remoteAddress ?? '';
       Lane.serve(
         connection,
@@ -55,6 +65,13 @@
     },
     failed: (error) => log.error({ err: error, at }, 'a model cannot listen'),
   });
+  return {
+    ready: listening.ready,
+    close: () => {
+      listening.close();
+      for (const connection of open) connection.destroy();
+    },
+  };
 }
 
 /** So many a second on average, a burst of `burstS` seconds' worth at most. */
--- a/packages/region/src/parts.ts
+++ b/packages/region/src/parts.ts
@@ -174,8 +174,8 @@
     if (!held) return;
     this.workers.delete(machine.id);
     this.options.note(`gone ${machine.id} ${machine.fate}`);
-    held.model.end();
     held.seat.close();
+    held.model.end();
   }
 
   // ---- tasks
--- a/packages/region/src/sim/network.ts
+++ b/packages/region/src/sim/network.ts
@@ -238,6 +238,8 @@
   }
 
   send(pipe: Pipe, packet: Packet): void {
+    // A machine that is gone says nothing more.
+    if (!pipe.from.powered) return;
     const at = Math.max(pipe.lastAt, this.world.now + this.delay(pipe.from, pipe.to.owner.host));
     pipe.lastAt = at;
     this.world.plan(at, () => this.arrive(pipe, packet));
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,4 +1,6 @@
-import { readFileSync } from 'node:fs';
+import { readFileSync, realpathSync } from 'node:fs';
+import { createRequire } from 'node:module';
+import { dirname, join } from 'node:path';
 import { Command, InvalidArgumentError } from 'commander';
 import { loadSettings, SettingsError } from '../config/index.js';
 import { createLogger, HttpClient, parseAddress, systemRuntime, type Call } from '../kernel/index.js';
@@ -118,10 +120,27 @@
     );
 }
 
+/** Tools have a bundle of their own beside this one, so that a controller starts without their libraries. */
+function runTools(): void {
+  const here = realpathSync(process.argv[1] ?? '');
+  try {
+    createRequire(here)(join(dirname(here), 'tools.cjs'));
+  } catch (error) {
+    const missing = (error as { code?: unknown }).code === 'MODULE_NOT_FOUND';
+    if (!missing) throw error;
+    process.stderr.write('wooddrift: target/tools.cjs is missing: npm run build makes it\n');
+    process.exitCode = 1;
+  }
+}
+
+program.command('region').description('play whole days in simulated time, or serve their models on loopback');
+
 // `wooddrift --config FILE` is short for `wooddrift serve --config FILE`.
 const args = process.argv.slice(2);
 const shorthand = args[0] === '--config' ? ['serve', ...args] : args;
-program.parseAsync(shorthand, { from: 'user' }).catch((error: unknown) => {
-  process.stderr.write(`wooddrift: ${error instanceof Error ? error.message : String(error)}\n`);
-  process.exitCode = 1;
-});
+if (args[0] === 'region') runTools();
+else
+  program.parseAsync(shorthand, { from: 'user' }).catch((error: unknown) => {
+    process.stderr.write(`wooddrift: ${error instanceof Error ? error.message : String(error)}\n`);
+    process.exitCode = 1;
+  });
--- a/src/workers/index.ts
+++ b/src/workers/index.ts
@@ -5,6 +5,7 @@
 export * from './whereabouts.js';
 export {
   decodeMessage,
+  encodeCommands,
   encodeRedirect,
   encodeReply,
   type ExitWhy,
