A session heard of by a command alone is not over before its own lease is

Cause: a lease was counted from the last answered report; a worker whose session began anew while nobody reached it, and that was then started on by commands, was taken for expired within half a second, and its tasks were started elsewhere (ran_twice). Change: a session new to the belief counts as begun when it is first heard of.

--- a/src/workers/belief.ts
+++ b/src/workers/belief.ts
@@ -42,7 +42,7 @@
   private acked = token(0);
   private at: { session: Session; sequence: Sequence } = { session: session(0), sequence: sequence(0) };
   private expired = session(0);
-  /** The latest moment at which this holder, or an earlier one, can have renewed the worker's lease. */
+  /** The latest moment at which the worker's lease can have begun or have been renewed, by whomever. */
   lastAnswerAt: Millis;
   lastHeardAt: Millis;
   private changes = 0;
@@ -134,6 +134,9 @@
     if (message.session <= this.expired) return 'stale';
     if (message.session < this.at.session) return 'stale';
     if (message.session === this.at.session && message.sequence <= this.at.sequence) return 'stale';
+    // A new session's lease runs from its beginning, which lies no later than now, whoever answers reports: a
+    // session known from a command's answer alone would be taken for over while tasks run in it.
+    if (message.session > this.at.session) this.answered(now);
     this.at = { session: message.session, sequence: message.sequence };
     this.acked = message.token;
     this.lastHeardAt = now;
--- a/test/belief.test.ts
+++ b/test/belief.test.ts
@@ -200,6 +200,28 @@
   assert.ok(!belief.possibly(key));
 });
 
+test('a session that is known from a command alone lasts for a lease from then on', () => {
+  const worker = new StandInWorker('m0');
+  const belief = new MachineBelief(revision(5), millis(0));
+  worker.onReply(belief.token, []);
+  belief.take(worker.report(), millis(1));
+  belief.answered(millis(1));
+  // Cut off for three leases: the worker's sessions end and begin unseen. Then a command reaches it.
+  worker.expire();
+  worker.expire();
+  worker.expire();
+  const now = 3 * LEASE;
+  belief.take(worker.onCommands(belief.token, 0, []).message, millis(now));
+  const key = KEYS[0] as TaskKey;
+  belief.noteStart(key, attempt(1));
+  belief.take(
+    worker.onCommands(belief.token, belief.session, [{ op: 'start', key, attempt: attempt(1) }]).message,
+    millis(now),
+  );
+  assert.ok(worker.isOn(key));
+  assert.ok(belief.expiresAt(LEASE) >= now + LEASE, 'its lease is not over while the task may run');
+});
+
 test('an older message never replaces a newer one, and a higher token means that we were replaced', () => {
   const worker = new StandInWorker('m0');
   const belief = new MachineBelief(revision(5), millis(0));
