Commands to workers share a budget of sockets; a process without a free one blames no machine

Cause: of three controllers of 900 machines two ended; the third held all users' and workers' connections and had no socket left for commands to the last machines it had claimed. It counted that as their silence, gave 20 healthy machines up and had them deleted with 112 tasks (region, simulated). Change: kernel SocketBudget closes the longest idle connection for a new one, and a courier without room waits; EMFILE and its kin are no failures of the machine. Tests fail without either.

--- a/packages/region/src/cli/main.ts
+++ b/packages/region/src/cli/main.ts
@@ -5,6 +5,7 @@
 import { createLogger } from '../../../../src/kernel/index.js';
 import { DayError, readDay, type Day } from '../day/index.js';
 import { hunt, playOnce, writeDay } from '../hunt/index.js';
+import { ENDED, measureRecovery, measureSpeed } from '../measure/index.js';
 import { Region, type DayResult } from '../region.js';
 import { dayTable } from '../report.js';
 import { settingsFor } from '../settings.js';
@@ -218,6 +219,41 @@
     );
   });
 
+interface MeasureFlags {
+  readonly machines: number;
+  readonly seed: number;
+  readonly seconds: number;
+  readonly rps: number;
+  readonly writeRps: number;
+}
+
+const measure = region.command('measure').description('measurements on fleets of any size, one JSON object a line');
+measure
+  .command('speed')
+  .description('how fast a fleet plays, and in how much memory')
+  .option('--machines <n>', 'how many', whole, 900)
+  .option('--seconds <n>', 'of simulated time', whole, 120)
+  .action(async ({ machines, seconds }: MeasureFlags) => {
+    const speed = await measureSpeed(
+      machines,
+      seconds,
+      () => performance.now(),
+      () => process.memoryUsage().rss,
+    );
+    process.stdout.write(`${JSON.stringify(speed)}\n`);
+  });
+measure
+  .command('recovery')
+  .description('how long it takes from the end of controllers to the last report answered and the first start')
+  .option('--machines <n>', 'how many', whole, 900)
+  .option('--seed <n>', 'of the day', whole, 1)
+  .option('--rps <n>', "the state service's requests a second", positive, 200)
+  .option('--write-rps <n>', 'and changes a second', positive, 40)
+  .action(async ({ machines, seed, rps, writeRps }: MeasureFlags) => {
+    for (const ended of ENDED)
+      process.stdout.write(`${JSON.stringify(await measureRecovery({ machines, ended, seed, rps, writeRps }))}\n`);
+  });
+
 const tools = new Command('wooddrift').addCommand(region);
 tools.parseAsync(process.argv.slice(2), { from: 'user' }).catch((error: unknown) => {
   const known = error instanceof DayError || error instanceof UsageError;
--- /dev/null
+++ b/packages/region/src/measure/index.ts
@@ -0,0 +1,3 @@
+export * from './fleet.js';
+export * from './recovery.js';
+export * from './speed.js';
--- a/packages/region/src/models/state.ts
+++ b/packages/region/src/models/state.ts
@@ -113,6 +113,10 @@
     if (!on) this.wake();
   }
 
+  get revision(): number {
+    return this.epoch;
+  }
+
   /** A change as a node would make it. */
   put(key: string, value: unknown): void {
     this.apply([{ key, value, lease: null }]);
--- a/packages/region/src/models/worker.ts
+++ b/packages/region/src/models/worker.ts
@@ -99,6 +99,8 @@
   slowness = 1;
   /** Every task that it starts fails. */
   failsTasks = false;
+  /** Reports that were answered so that its lease was renewed. */
+  answers = 0;
   address = '';
 
   constructor(
@@ -241,6 +243,7 @@
     // A lower token, or none: dropped, and the lease is not renewed.
     if (helm === undefined || helm < this.helm) return;
     this.takeHelm(helm);
+    this.answers += 1;
     if (sentAt > this.leasedAt) this.leasedAt = sentAt;
     this.execute(asList(body['orders']));
   }
--- a/src/holder/holder.ts
+++ b/src/holder/holder.ts
@@ -18,6 +18,7 @@
   type Revision,
   type Runtime,
   type ShardName,
+  type SocketBudget,
   type TaskKey,
 } from '../kernel/index.js';
 import {
@@ -66,6 +67,8 @@
   readonly mirror: Mirror;
   readonly registry: JobRegistry;
   readonly runtime: Runtime;
+  /** Connections to workers, of all shards together. */
+  readonly sockets: SocketBudget;
   readonly log: Logger;
   types(): ReadonlyMap<string, MachineType>;
   operator(): OperatorView;
@@ -217,14 +220,22 @@
     const wanted = new Set(value.machines.map((m) => m.id));
     for (const info of value.machines) {
       if (this.machines.has(info.id)) continue;
-      const machine: HeldMachine = new HeldMachine(info, version, this.deps.runtime, this.deps.log, this.whereabouts, {
-        heard: () => {
-          this.deps.heard();
-          this.sync(machine);
-          this.soon();
+      const machine: HeldMachine = new HeldMachine(
+        info,
+        version,
+        this.deps.runtime,
+        this.deps.log,
+        this.whereabouts,
+        {
+          heard: () => {
+            this.deps.heard();
+            this.sync(machine);
+            this.soon();
+          },
+          superseded: () => this.superseded(machine),
         },
-        superseded: () => this.superseded(machine),
-      });
+        this.deps.sockets,
+      );
       this.machines.set(info.id, machine);
     }
     for (const [id, machine] of this.machines) {
--- a/src/holder/machine.ts
+++ b/src/holder/machine.ts
@@ -1,4 +1,4 @@
-import type { JobId, Logger, MachineId, Millis, Revision, Runtime, TaskKey } from '../kernel/index.js';
+import type { JobId, Logger, MachineId, Millis, Revision, Runtime, SocketBudget, TaskKey } from '../kernel/index.js';
 import type { BlockMachine } from '../membership/index.js';
 import type { MachineView } from '../placement/index.js';
 import { Courier, MachineBelief, type CourierHooks, type Mentions } from '../workers/index.js';
@@ -44,10 +44,11 @@
     log: Logger,
     mentions: Mentions,
     hooks: CourierHooks,
+    sockets: SocketBudget,
   ) {
     const now = runtime.now();
     this.belief = new MachineBelief(base, now, { mentions, machine: info.id });
-    this.courier = new Courier(info.id, this.belief, runtime, log, hooks);
+    this.courier = new Courier(info.id, this.belief, runtime, log, hooks, sockets);
     this.courier.setAddress(info.address);
     this.coolUntil = now;
     this.emptySince = now;
--- a/src/kernel/http.ts
+++ b/src/kernel/http.ts
@@ -1,5 +1,6 @@
 import { headEnd, joinChunks, readResponseHead, type ResponseHead } from './head.js';
 import type { Connection, Runtime } from './runtime.js';
+import type { SocketBudget } from './sockets.js';
 import { systemRuntime } from './system.js';
 
 /** What came of an outgoing request: an answer, or a failure whose effect is unknown when it was sent. */
@@ -162,8 +163,15 @@
     readonly address: Address,
     private readonly maxSockets: number,
     private readonly runtime: Runtime = systemRuntime,
+    /** Shared with the clients of other addresses. */
+    private readonly sockets?: SocketBudget,
   ) {}
 
+  /** A connection stands, or is being opened. */
+  get connected(): boolean {
+    return this.lines.size > 0;
+  }
+
   close(): void {
     for (const waiting of this.queue.splice(0)) waiting.finish(failed('closed'));
     for (const line of [...this.lines]) line.end('closed');
@@ -205,8 +213,10 @@
       const line = this.idle.pop() ?? this.open();
       if (!line) return;
       const next = this.queue.shift();
-      if (next && !next.done) line.send(next);
-      else this.idle.push(line);
+      if (next && !next.done) {
+        this.sockets?.works(line);
+        line.send(next);
+      } else this.rest(line);
     }
   }
 
@@ -216,19 +226,26 @@
       this.address,
       this.runtime,
       (free) => {
-        this.idle.push(free);
+        this.rest(free);
         this.pump();
       },
       (gone) => {
         this.lines.delete(gone);
+        this.sockets?.closed(gone);
         const at = this.idle.indexOf(gone);
         if (at >= 0) this.idle.splice(at, 1);
         this.pump();
       },
     );
     this.lines.add(line);
+    this.sockets?.opened();
     return line;
   }
+
+  private rest(line: Line): void {
+    this.idle.push(line);
+    this.sockets?.rests(line);
+  }
 }
 
 /** Reads of untrusted JSON: a field of the wrong kind is undefined, never a thrown error. */
--- a/src/kernel/index.ts
+++ b/src/kernel/index.ts
@@ -7,4 +7,5 @@
 export * from './logger.js';
 export * from './loop.js';
 export * from './runtime.js';
+export * from './sockets.js';
 export * from './system.js';
--- a/src/service/service.ts
+++ b/src/service/service.ts
@@ -7,6 +7,7 @@
   incarnation,
   ReconcileLoop,
   shardName,
+  SocketBudget,
   type Incarnation,
   type JobId,
   type Logger,
@@ -29,6 +30,12 @@
 const PROBE_AGAIN_MS = 800;
 const TYPES_EVERY_MS = 30_000;
 const REST_FACTOR = 20;
+/** Sockets for the state service, the cloud, the peers and the listeners. */
+const KEPT_SOCKETS = 40;
+
+/** Of the sockets that it may have: for users' and workers' connections, and for commands to workers. */
+const incoming = (most: number): number => Math.max(50, Math.floor(most * 0.7));
+const outgoing = (most: number): number => Math.max(20, most - incoming(most) - KEPT_SOCKETS);
 
 /** One controller: all slices put together. */
 export class Service {
@@ -50,6 +57,7 @@
   private readonly ownShard: ShardName;
   private types = new Map<string, MachineType>();
   private readonly reach: Reach;
+  private readonly sockets: SocketBudget;
   private readonly rounds: ReconcileLoop;
   private readonly leaderRounds: ReconcileLoop;
   private readonly loops: ReconcileLoop[] = [];
@@ -63,6 +71,7 @@
   ) {
     this.incarnation = incarnation(runtime.uniqueId());
     this.reach = new Reach(runtime.now());
+    this.sockets = new SocketBudget(outgoing(settings.maxConnections));
     this.ownShard = shardName(settings.node);
     this.state = new StateClient(settings.state, settings.stateLimits, log, runtime);
     this.state.writers = settings.seeds.length + 1;
@@ -155,7 +164,7 @@
       report: (message) => this.onReport(message),
     };
     const app = createApp(handlers, admin, log);
-    const sockets = Math.max(50, Math.floor(settings.maxConnections * 0.7));
+    const sockets = incoming(settings.maxConnections);
     const { host, port } = settings.serveOn;
     this.server = listen(app, laneRoutes(handlers, log), { host, port }, sockets, runtime, log);
     void this.mirror.run();
@@ -242,6 +251,7 @@
       mirror: this.mirror,
       registry: this.registry,
       runtime: this.runtime,
+      sockets: this.sockets,
       log: this.log,
       types: () => this.types,
       operator: () => this.settingsStore.current,
--- a/src/workers/courier.ts
+++ b/src/workers/courier.ts
@@ -1,4 +1,12 @@
-import { HttpClient, parseAddress, type Logger, type MachineId, type Millis, type Runtime } from '../kernel/index.js';
+import {
+  HttpClient,
+  parseAddress,
+  type Logger,
+  type MachineId,
+  type Millis,
+  type Runtime,
+  type SocketBudget,
+} from '../kernel/index.js';
 import type { MachineBelief } from './belief.js';
 import { decodeMessage, encodeCommands, type Order, type WorkerMessage } from './wire.js';
 
@@ -6,6 +14,7 @@
 /** A command without orders only asks whether the worker is there. */
 const PROBE_TIMEOUT_MS = 1000;
 const MAX_ORDERS = 200;
+const NO_SOCKET = /\b(?:EMFILE|ENFILE|EADDRNOTAVAIL|ENOBUFS)\b/;
 
 export interface CourierHooks {
   /** A newer message was taken in. */
@@ -27,6 +36,7 @@
     private readonly runtime: Runtime,
     private readonly log: Logger,
     private readonly hooks: CourierHooks,
+    private readonly sockets: SocketBudget,
   ) {}
 
   get idle(): boolean {
@@ -43,7 +53,7 @@
 
   /** May be called again after a failure only after a short pause. */
   ready(): boolean {
-    if (this.busy || !this.client) return false;
+    if (this.busy || !this.client || !(this.client.connected || this.sockets.room)) return false;
     if (this.failedAt === undefined) return true;
     return this.runtime.now() - this.failedAt > Math.min(2000, 200 * 2 ** Math.min(4, this.failures));
   }
@@ -54,7 +64,7 @@
     if (!address) return;
     this.client?.close();
     this.address = text;
-    this.client = new HttpClient(address, 1, this.runtime);
+    this.client = new HttpClient(address, 1, this.runtime, this.sockets);
   }
 
   close(): void {
@@ -78,7 +88,9 @@
       });
       const message = answer.kind === 'answered' ? decodeMessage(answer.body) : null;
       if (answer.kind === 'failed' || !message || (answer.status !== 200 && answer.status !== 409)) {
-        this.failures += 1;
+        // A process without a free socket has learned nothing about the machine.
+        const ours = answer.kind === 'failed' && NO_SOCKET.test(answer.reason);
+        if (!ours) this.failures += 1;
         this.failedAt = this.runtime.now();
         const reason = answer.kind === 'failed' ? answer.reason : `status ${answer.status}`;
         this.log.debug({ machine: this.machine, reason, starts: starts.length }, 'a command got no answer');
--- /dev/null
+++ b/test/sockets.test.ts
@@ -0,0 +1,83 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Lab } from '../packages/region/src/index.js';
+import { HttpClient, machineId, millis, revision, SocketBudget } from '../src/kernel/index.js';
+import { Courier, MachineBelief } from '../src/workers/index.js';
+
+const PORT = 9000;
+const CALL = { method: 'GET', path: '/status', timeoutMs: 1000 } as const;
+
+/** Hosts that answer everything with an empty object after so long. */
+function answering(lab: Lab, count: number, afterMs: number): string[] {
+  return Array.from({ length: count }, (_, i) => {
+    const host = `10.1.0.${i}`;
+    const process = lab.process(host);
+    process.listen({
+      ...{ host, port: PORT },
+      accept: (socket) => {
+        socket.on('data', () => {
+          process.after(afterMs, () => socket.write('HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}'));
+        });
+      },
+      failed: () => undefined,
+    });
+    return host;
+  });
+}
+
+test('connections to many machines stay within their budget, and the longest idle gives way', async () => {
+  const lab = new Lab();
+  const hosts = answering(lab, 6, 5);
+  const node = lab.process('10.0.0.1');
+  const budget = new SocketBudget(3);
+  const clients = hosts.map((host) => new HttpClient({ host, port: PORT }, 1, node, budget));
+  for (const round of [0, 1]) {
+    for (const client of clients) {
+      assert.ok(budget.room, `round ${round}`);
+      assert.equal((await lab.settle(client.call(CALL))).kind, 'answered');
+      assert.ok(lab.network.socketsOf(node) <= 3);
+    }
+  }
+  assert.deepEqual(
+    clients.map((client) => client.connected),
+    [false, false, false, true, true, true],
+  );
+  // One that is used again is not the longest idle any more.
+  await lab.settle(clients[3]?.call(CALL) ?? Promise.reject(new Error('none')));
+  await lab.settle(clients[0]?.call(CALL) ?? Promise.reject(new Error('none')));
+  assert.deepEqual(
+    clients.map((client) => client.connected),
+    [true, false, false, true, false, true],
+  );
+  const busy = [0, 3, 5].map((i) => clients[i]?.call(CALL));
+  assert.equal(budget.room, false, 'none of them can be closed now');
+  await lab.settle(Promise.all(busy));
+  assert.equal(budget.room, true);
+  for (const client of clients) client.close();
+  assert.equal(lab.network.socketsOf(node), 0);
+});
+
+test('a process without a free socket takes no machine for silent, and learns so from one that is', async () => {
+  // A controller that had taken over its peers' machines had no socket left for the last of them, counted that
+  // as their silence and had twenty healthy ones deleted (900 machines, two of three controllers ended).
+  const lab = new Lab();
+  const [here = ''] = answering(lab, 1, 5);
+  const node = lab.process('10.0.0.1', null, undefined, 0);
+  const free = lab.process('10.0.0.2');
+  const courier = (from: typeof node, host: string): Courier => {
+    const belief = new MachineBelief(revision(3), millis(0));
+    const hooks = { heard: () => undefined, superseded: () => undefined };
+    const made = new Courier(machineId(host), belief, from, lab.log, hooks, new SocketBudget(5));
+    made.setAddress(`${host}:${PORT}`);
+    return made;
+  };
+  const without = courier(node, here);
+  await lab.settle(without.send([]));
+  assert.equal(without.failures, 0);
+  assert.ok(!without.ready(), 'it waits before it tries again');
+  await lab.pass(1000);
+  assert.ok(without.ready());
+  const silent = courier(free, '10.1.0.99');
+  await lab.settle(silent.send([]));
+  assert.equal(silent.failures, 1);
+});
--- a/test/suspects.test.ts
+++ b/test/suspects.test.ts
@@ -10,6 +10,7 @@
   millis,
   revision,
   shardName,
+  SocketBudget,
   systemRuntime,
   wallMillis,
 } from '../src/kernel/index.js';
@@ -62,6 +63,7 @@
     createLogger('silent', 't'),
     new Whereabouts(),
     hooks,
+    new SocketBudget(10),
   );
   for (let i = 0; i < 3; i++) machine.noteFailure(jobId('j-bad'), millis(1));
   assert.ok(machine.faulty(millis(1)));
