--- a/src/kernel/lane.ts
+++ b/src/kernel/lane.ts
@@ -61,13 +61,19 @@
     find: (head: RequestHead) => LaneHandler | undefined,
     maxBody: number,
     handOver: (socket: Connection, unread: Buffer) => void,
-  ): void {
+  ): Lane {
     const lane = new Lane(socket, find, maxBody, handOver);
     socket.on('data', lane.onData);
     socket.on('end', lane.onEnd);
     socket.on('error', lane.onError);
     socket.on('timeout', lane.onTimeout);
     socket.setTimeout(IDLE_MS);
+    return lane;
+  }
+
+  /** Nothing is being read or answered. */
+  get resting(): boolean {
+    return !this.busy && this.input.length === 0;
   }
 
   private readonly onError = (): void => {
--- a/src/service/http.ts
+++ b/src/service/http.ts
@@ -24,6 +24,11 @@
 
 const BODY_LIMIT = 64 * 1024;
 const IDLE_MS = 120_000;
+/** From this share of its connections on, users' idle ones give way to new ones. */
+const CROWDED = 0.9;
+const LOOKED_AT = 8;
+/** The balancer's probes and workers' reports keep their connections. */
+const STAYS = /^\/(?:healthz|v1\/report)$/;
 
 export interface Handlers {
   healthy(): boolean;
@@ -173,17 +178,41 @@
     else socket.destroy();
   });
   const sockets = new Set<Connection>();
+  /** Connections whose last request was a user's, the longest ago first. */
+  const users = new Map<Connection, Lane>();
+  // A worker that is shut out loses its lease and all that runs there; a user connects again.
+  const makeRoom = (): void => {
+    let looked = 0;
+    for (const [socket, lane] of users) {
+      looked += 1;
+      if (lane.resting) socket.end();
+      if (lane.resting || looked >= LOOKED_AT) {
+        users.delete(socket);
+        return;
+      }
+    }
+  };
   const listening: Listening = runtime.listen({
     ...on,
     maxConnections,
     allowHalfOpen: true,
     accept: (socket) => {
       sockets.add(socket);
-      socket.on('close', () => sockets.delete(socket));
-      Lane.serve(socket, find, BODY_LIMIT, (given, unread) => {
+      socket.on('close', () => {
+        sockets.delete(socket);
+        users.delete(socket);
+      });
+      if (sockets.size > maxConnections * CROWDED) makeRoom();
+      const lane = Lane.serve(socket, noted, BODY_LIMIT, (given, unread) => {
+        users.delete(given);
         given.unshift(unread);
         web.emit('connection', given);
       });
+      function noted(head: RequestHead): LaneHandler | undefined {
+        users.delete(socket);
+        if (!STAYS.test(head.path)) users.set(socket, lane);
+        return find(head);
+      }
     },
     failed: (error) => log.error({ err: error }, 'the listener failed'),
   });
--- a/test/sockets.test.ts
+++ b/test/sockets.test.ts
@@ -1,7 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { Router } from 'express';
 import { Lab } from '../packages/region/src/index.js';
 import { HttpClient, machineId, millis, revision, SocketBudget } from '../src/kernel/index.js';
+import { createApp, laneRoutes, listen, type Handlers } from '../src/service/index.js';
 import { Courier, MachineBelief } from '../src/workers/index.js';
 
 const PORT = 9000;
@@ -81,3 +83,43 @@
   await lab.settle(silent.send([]));
   assert.equal(silent.failures, 1);
 });
+
+test("a full listener closes users' longest idle connections, so that workers are never shut out", async () => {
+  const lab = new Lab();
+  const at = { host: '10.0.0.1', port: 8080 };
+  const slow: (() => void)[] = [];
+  const handlers: Handlers = {
+    healthy: () => true,
+    serve: (request) =>
+      new Promise((resolve) => {
+        const answer = (): void => resolve({ status: 200, body: {} });
+        if (request.op === 'query' && request.id === 'j-slow') slow.push(answer);
+        else answer();
+      }),
+    report: () => ({ status: 200, body: { helm: 1 } }),
+  };
+  const node = lab.process(at.host);
+  listen(createApp(handlers, Router(), lab.log), laneRoutes(handlers, lab.log), at, 10, node, lab.log);
+  const from = lab.process('10.3.0.1');
+  const client = (): HttpClient => new HttpClient(at, 1, from);
+  const poll = (id: string) => ({ method: 'GET', path: `/v1/jobs/${id}`, timeoutMs: 5000 }) as const;
+  const probe = client();
+  await lab.settle(probe.call({ method: 'GET', path: '/healthz', timeoutMs: 5000 }));
+  const waiting = client();
+  const answer = waiting.call(poll('j-slow'));
+  const users = Array.from({ length: 7 }, client);
+  for (const user of users) await lab.settle(user.call(poll('j-1')));
+  await lab.settle(users[0]?.call(poll('j-1')) ?? Promise.reject(new Error('none')));
+  const body = { drifter: 'host-1', tide: 1, tally: 1, helm: 0, pieces: [] };
+  const workers = Array.from({ length: 6 }, client);
+  for (const worker of workers) {
+    const reported = await lab.settle(worker.call({ method: 'POST', path: '/v1/report', body, timeoutMs: 5000 }));
+    assert.equal(reported.kind, 'answered', JSON.stringify(reported));
+  }
+  await lab.pass(100);
+  assert.ok(workers.every((worker) => worker.connected) && probe.connected, 'they stay');
+  assert.equal(users[0]?.connected, true, 'the one that asked last');
+  assert.equal(users[1]?.connected, false, 'the longest idle');
+  slow[0]?.();
+  assert.equal((await lab.settle(answer)).kind, 'answered', 'nobody is cut off while an answer is due');
+});
