--- a/packages/region/src/sim/network.ts
+++ b/packages/region/src/sim/network.ts
@@ -1,7 +1,6 @@
 import { Duplex } from 'node:stream';
-import type { Connection, Endpoint, Listening, ListenOptions, Timer } from '../../../../src/kernel/index.js';
+import type { Connection, Endpoint, Listening, ListenOptions, Runtime, Timer } from '../../../../src/kernel/index.js';
 import type { Luck } from './luck.js';
-import type { SimProcess } from './process.js';
 import type { World } from './world.js';
 
 /** An address in the network. Without power it is silent: nothing is answered, and nothing fails. */
@@ -12,6 +11,16 @@
   powered: boolean;
 }
 
+/** A process, as far as its connections go. */
+export interface SocketOwner extends Pick<Runtime, 'now' | 'after'> {
+  readonly host: Host;
+  readonly alive: boolean;
+  /** Open connections that it may have, in both directions. */
+  readonly maxSockets: number;
+  /** Runs now, after the process stands still no more, or never. */
+  run(work: () => void): void;
+}
+
 /**
  * What a cut does to packets. `hold`: connections hang, what was sent is delivered in order once the
  * cut is over, even when the sender has given up. `reset`: connections break at once, new ones hang.
@@ -59,7 +68,7 @@
   orphaned = false;
 
   constructor(
-    readonly owner: SimProcess,
+    readonly owner: SocketOwner,
     private readonly network: Network,
     readonly remoteAddress: string,
     allowHalfOpen: boolean,
@@ -164,7 +173,7 @@
 }
 
 interface Listener {
-  readonly owner: SimProcess;
+  readonly owner: SocketOwner;
   readonly options: ListenOptions;
   open: number;
 }
@@ -173,7 +182,7 @@
 export class Network {
   private readonly hosts = new Map<string, Host>();
   private readonly listeners = new Map<string, Listener>();
-  private readonly sockets = new Map<SimProcess, Set<SimSocket>>();
+  private readonly sockets = new Map<SocketOwner, Set<SimSocket>>();
   private readonly acceptedBy = new Map<SimSocket, Listener>();
   private readonly cuts = new Set<Cut>();
   private readonly holding = new Set<Pipe>();
@@ -197,7 +206,7 @@
   }
 
   /** How many connections a process has. */
-  socketsOf(process: SimProcess): number {
+  socketsOf(process: SocketOwner): number {
     return this.sockets.get(process)?.size ?? 0;
   }
 
@@ -253,7 +262,7 @@
     } else if (host.powered) pipe.to.owner.run(() => pipe.to.receive(packet));
   }
 
-  listen(owner: SimProcess, options: ListenOptions): Listening {
+  listen(owner: SocketOwner, options: ListenOptions): Listening {
     const port = options.port === 0 ? this.nextPort++ : options.port;
     const key = `${owner.host.ip}:${port}`;
     const taken = this.listeners.get(key);
@@ -267,7 +276,7 @@
     };
   }
 
-  connect(from: SimProcess, { host: ip, port }: Endpoint): SimSocket {
+  connect(from: SocketOwner, { host: ip, port }: Endpoint): SimSocket {
     const socket = new SimSocket(from, this, ip, false);
     if (!from.alive) {
       socket.orphaned = true;
@@ -338,7 +347,7 @@
   }
 
   /** A process has ended: its listeners are gone, and the other ends of its connections break. */
-  forget(process: SimProcess): void {
+  forget(process: SocketOwner): void {
     for (const [key, listener] of this.listeners) if (listener.owner === process) this.listeners.delete(key);
     for (const socket of this.sockets.get(process) ?? []) {
       this.acceptedBy.delete(socket);
--- a/packages/region/src/sim/process.ts
+++ b/packages/region/src/sim/process.ts
@@ -13,7 +13,7 @@
   type WallMillis,
 } from '../../../../src/kernel/index.js';
 import type { Luck } from './luck.js';
-import type { Host, Network } from './network.js';
+import type { Host, Network, SocketOwner } from './network.js';
 import type { World } from './world.js';
 
 /** Time of day at the start of every simulated day. */
@@ -50,7 +50,7 @@
  * One process on a simulated host, as the runtime that its program is given. It may stand still while
  * its clocks run on, and may end at any moment: whatever it had planned is void then.
  */
-export class SimProcess implements Runtime {
+export class SimProcess implements Runtime, SocketOwner {
   private ended = false;
   private frozen = false;
   private backlog: (() => void)[] = [];
@@ -69,7 +69,6 @@
     private readonly network: Network,
     private readonly luck: Luck,
     private readonly clocks: ClockFaults = { drift: 0, wanderMs: 0 },
-    /** Open connections that it may have, in both directions. */
     readonly maxSockets = Number.POSITIVE_INFINITY,
   ) {
     this.bornAt = world.now;
@@ -84,7 +83,6 @@
     return !this.ended && !this.frozen;
   }
 
-  /** Runs now, after the process stands still no more, or never. */
   run(work: () => void): void {
     if (this.ended) return;
     if (this.frozen) this.backlog.push(work);
--- a/src/service/service.ts
+++ b/src/service/service.ts
@@ -2,29 +2,28 @@
 import { CloudClient, type MachineType } from '../cloud/index.js';
 import type { Settings } from '../config/index.js';
 import { ShardHolder, type HolderDeps, type ReportReply } from '../holder/index.js';
-import { JobRegistry, type JobSpec } from '../jobs/index.js';
+import { JobRegistry } from '../jobs/index.js';
 import {
   incarnation,
   ReconcileLoop,
   shardName,
   SocketBudget,
   type Incarnation,
-  type JobId,
   type Logger,
   type NodeName,
   type Runtime,
   type ShardName,
 } from '../kernel/index.js';
-import { betterShard, bookRoom, chooseShard, Leader } from '../leasing/index.js';
+import { Leader } from '../leasing/index.js';
 import { decodeShard, Membership, ShardDirectory } from '../membership/index.js';
-import { PeerLink, type PeerMessage, type Received, type ShardSummary } from '../peers/index.js';
+import { PeerLink, type PeerMessage, type Received } from '../peers/index.js';
 import { JOBS, LIVE, Mirror, shardKey, SHARDS, StateClient, TYPES, Urgency, type Change } from '../state/index.js';
 import { encodeRedirect, probeWorkers, PROBES, Reach, type WorkerMessage } from '../workers/index.js';
 import { createApp, laneRoutes, listen, type Handlers, type Listener } from './http.js';
+import { ShardRoutes } from './routes.js';
 import { UserDesk } from './users.js';
 
 const SUMMARY_EVERY_MS = 800;
-const SUMMARY_VALID_MS = 5000;
 const HAND_BACK_AFTER_MS = 3000;
 /** While this node is cut off from the workers, it asks some again after so long. */
 const PROBE_AGAIN_MS = 800;
@@ -51,7 +50,7 @@
   private readonly leader: Leader;
   private readonly directory: ShardDirectory;
   private readonly holders = new Map<ShardName, ShardHolder>();
-  private readonly summaries = new Map<ShardName, { summary: ShardSummary; at: number }>();
+  private readonly routes: ShardRoutes;
   private readonly ousted = new Map<ShardName, number>();
   private readonly homeSince = new Map<ShardName, number>();
   private readonly ownShard: ShardName;
@@ -101,14 +100,23 @@
       runtime,
       log,
     );
+    this.routes = new ShardRoutes({
+      self: settings.node,
+      clock: runtime,
+      teams: settings.teams,
+      holders: this.holders,
+      own: this.ownShard,
+      shards: () => this.membership.shards,
+      types: () => this.types,
+    });
     this.registry = new JobRegistry(
       this.state,
       this.mirror,
       settings.teams,
       {
         types: () => (this.types.size > 0 ? [...this.types.values()] : null),
-        chooseShard: (spec) => this.chooseShard(spec),
-        running: (id) => this.runningOf(id),
+        chooseShard: (spec) => this.routes.choose(spec),
+        running: (id) => this.routes.running(id),
         cancelled: (id) => this.peers.broadcast({ kind: 'cancelled', job: id }),
       },
       runtime,
@@ -132,7 +140,7 @@
       valueKb: settings.stateLimits.valueKb,
       shards: this.directory,
       leading: () => this.membership.leading,
-      summaries: () => this.currentSummaries(),
+      summaries: () => this.routes.current,
       types: () => this.types,
       tell: (node, message) => this.tell(node, message),
       nudge: () => this.leaderRounds.nudge(),
@@ -229,7 +237,7 @@
     } else if (holder) holder.onShard(value, change.version);
     else {
       const previous = this.membership.previousOf(shard);
-      const last = this.summaries.get(shard)?.summary.machines ?? [];
+      const last = this.routes.last(shard)?.machines ?? [];
       const faulty = last.filter((machine) => machine.faulty).map((machine) => machine.id);
       this.holders.set(shard, new ShardHolder(shard, change.version, value, previous, faulty, this.holderDeps()));
       this.rounds.nudge();
@@ -240,7 +248,7 @@
     this.log.info({ shard }, 'this node holds the shard no more');
     holder.drop();
     this.holders.delete(shard);
-    this.summaries.delete(shard);
+    this.routes.forget(shard);
   }
 
   private holderDeps(): HolderDeps {
@@ -259,7 +267,7 @@
       certain: () => this.membership.certain,
       nudge: () => this.rounds.nudge(),
       heard: () => this.reach.heard(),
-      roomElsewhere: (from, spec, count) => this.roomElsewhere(from, spec, count),
+      roomElsewhere: (from, spec, count) => this.routes.elsewhere(from, spec, count),
     };
   }
 
@@ -378,7 +386,7 @@
   private onPeer({ from, message }: Received): void {
     switch (message.kind) {
       case 'summary':
-        this.summaries.set(message.summary.shard, { summary: message.summary, at: this.runtime.now() });
+        this.routes.note(message.summary);
         break;
       case 'cancelled':
         for (const holder of this.holders.values()) void holder.onCancelled(message.job);
@@ -417,63 +425,13 @@
 
   private publish(): void {
     this.state.writers = Math.max(1, this.membership.aliveCount);
-    for (const [shard, holder] of this.holders) {
+    for (const holder of this.holders.values()) {
       const summary = holder.summary();
-      this.summaries.set(shard, { summary, at: this.runtime.now() });
+      this.routes.note(summary);
       this.peers.broadcast({ kind: 'summary', summary });
     }
   }
 
-  private currentSummaries(): ShardSummary[] {
-    const now = this.runtime.now();
-    const current: ShardSummary[] = [];
-    for (const { summary, at } of this.summaries.values()) if (now - at < SUMMARY_VALID_MS) current.push(summary);
-    return current;
-  }
-
-  // ---- jobs
-
-  private chooseShard(spec: JobSpec): ShardName | null {
-    const shards = this.membership.shards;
-    const team = this.settings.teams.get(spec.team);
-    if (team && (team.cpusMax > 0 || team.gpusMax > 0)) {
-      // One shard keeps a limited team's whole account, so that no limit is ever shared.
-      const sum = [...spec.team].reduce((s, c) => (s * 31 + c.charCodeAt(0)) >>> 0, 7);
-      return shards[sum % shards.length] ?? null;
-    }
-    const own = this.holders.has(this.ownShard) ? this.ownShard : ([...this.holders.keys()][0] ?? null);
-    const chosen = chooseShard(spec, this.currentSummaries(), this.types, own);
-    const entry = chosen === null ? undefined : this.summaries.get(chosen);
-    if (chosen !== null && entry) this.summaries.set(chosen, { ...entry, summary: bookRoom(spec, entry.summary) });
-    return chosen;
-  }
-
-  private roomElsewhere(from: ShardName, spec: JobSpec, count: number): ShardName | null {
-    const team = this.settings.teams.get(spec.team);
-    if (team && (team.cpusMax > 0 || team.gpusMax > 0)) return null;
-    const current = this.currentSummaries();
-    const others = current.filter(
-      (s) => s.shard !== from && !(this.holders.has(s.shard) && s.holder !== this.settings.node),
-    );
-    const here = current.find((s) => s.shard === from);
-    const best = betterShard(spec, count, here, others, this.types);
-    const entry = best === null ? undefined : this.summaries.get(best);
-    if (best !== null && entry) this.summaries.set(best, { ...entry, summary: bookRoom(spec, entry.summary) });
-    return best;
-  }
-
-  private runningOf(id: JobId): { running: number; done: number } {
-    for (const holder of this.holders.values()) {
-      const seen = holder.runningOf(id);
-      if (seen) return seen;
-    }
-    for (const { summary } of this.summaries.values()) {
-      const found = summary.running.find((r) => r.job === id);
-      if (found) return { running: found.running, done: 0 };
-    }
-    return { running: 0, done: 0 };
-  }
-
   // ---- machine types
 
   private takeTypes(types: readonly MachineType[]): void {
