--- a/packages/region/src/models/index.ts
+++ b/packages/region/src/models/index.ts
@@ -5,5 +5,6 @@
 export * from './jobs.js';
 export * from './serve.js';
 export * from './state.js';
+export * from './tasks.js';
 export * from './users.js';
 export * from './worker.js';
--- a/packages/region/src/troubles.ts
+++ b/packages/region/src/troubles.ts
@@ -108,17 +108,17 @@
     }
     case 'machines_fail_tasks': {
       const chosen = workersOf(drawn(region, trouble));
-      for (const worker of chosen) worker.failsTasks = true;
+      for (const worker of chosen) worker.tasks.failsTasks = true;
       after(trouble.for_s, () => {
-        for (const worker of chosen) worker.failsTasks = false;
+        for (const worker of chosen) worker.tasks.failsTasks = false;
       });
       break;
     }
     case 'machines_slow': {
       const chosen = workersOf(drawn(region, trouble));
-      for (const worker of chosen) worker.slowness = trouble.times;
+      for (const worker of chosen) worker.tasks.slowness = trouble.times;
       after(trouble.for_s, () => {
-        for (const worker of chosen) worker.slowness = 1;
+        for (const worker of chosen) worker.tasks.slowness = 1;
       });
       break;
     }
