--- a/packages/region/src/report/charts.ts
+++ b/packages/region/src/report/charts.ts
@@ -68,34 +68,28 @@
   });
 }
 
-export function machinesChart({ timeline }: DayResult, troubles: readonly Trouble[]): Promise<string> {
-  const values = timeline.map(({ atS, machinesUp }) => ({ atS, machinesUp }));
+/** How many machines, or controllers, were up over time. */
+export function upChart(
+  { timeline }: DayResult,
+  which: 'machinesUp' | 'controllersUp',
+  troubles: readonly Trouble[],
+): Promise<string> {
+  const machines = which === 'machinesUp';
   return svg({
     ...base,
-    height: 120,
+    height: machines ? 120 : 60,
     layer: [
       {
-        data: { values },
+        data: { values: timeline.map((moment) => ({ atS: moment.atS, up: moment[which] })) },
         mark: { type: 'line', interpolate: 'step-after' },
-        encoding: { x: seconds, y: { field: 'machinesUp', type: 'quantitative', title: 'machines up' } },
-      },
-      ...marks(troubles),
-    ],
-  });
-}
-
-export function controllersChart({ timeline }: DayResult, troubles: readonly Trouble[]): Promise<string> {
-  const values = timeline.map(({ atS, controllersUp }) => ({ atS, controllersUp }));
-  return svg({
-    ...base,
-    height: 60,
-    layer: [
-      {
-        data: { values },
-        mark: { type: 'area', interpolate: 'step-after', color: '#888' },
         encoding: {
           x: seconds,
-          y: { field: 'controllersUp', type: 'quantitative', title: 'controllers', axis: { tickMinStep: 1 } },
+          y: {
+            field: 'up',
+            type: 'quantitative',
+            title: machines ? 'machines up' : 'controllers',
+            axis: { tickMinStep: 1 },
+          },
         },
       },
       ...marks(troubles),
--- a/packages/region/src/report/page.ts
+++ b/packages/region/src/report/page.ts
@@ -1,7 +1,7 @@
 import { Eta } from 'eta';
 import type { Day } from '../day/index.js';
 import type { DayResult } from '../region.js';
-import { controllersChart, machinesChart, tasksChart, timesChart } from './charts.js';
+import { tasksChart, timesChart, upChart } from './charts.js';
 import { aimText, quantilesText } from './table.js';
 
 /** Everything in one file: opens without a network, and needs no script. */
@@ -56,8 +56,8 @@
   const charts = {
     running: await tasksChart(result, 'running', troubles),
     waiting: await tasksChart(result, 'waiting', troubles),
-    machines: await machinesChart(result, troubles),
-    controllers: await controllersChart(result, troubles),
+    machines: await upChart(result, 'machinesUp', troubles),
+    controllers: await upChart(result, 'controllersUp', troubles),
     times: await timesChart(result),
   };
   return new Eta({ autoEscape: true }).renderString(PAGE, { result, day, charts, aimText, quantilesText });
