--- a/packages/region/src/cli/main.ts
+++ b/packages/region/src/cli/main.ts
@@ -88,7 +88,7 @@
         }),
   });
   const bar = new SingleBar(
-    { format: `${day.name} {bar} {value} of {total} s, {eta_formatted} left`, clearOnComplete: true, hideCursor: true },
+    { format: `${day.name} {bar} {percentage} % of {total} s`, clearOnComplete: true, hideCursor: true },
     Presets.shades_classic,
   );
   const shown = process.stderr.isTTY && flags.json !== true && (flags.log === undefined || flags.out !== undefined);
