--- /dev/null
+++ b/src/holder/deps.ts
@@ -0,0 +1,41 @@
+import type { MachineType } from '../cloud/index.js';
+import type { Settings } from '../config/index.js';
+import type { JobRegistry, JobSpec } from '../jobs/index.js';
+import type { Logger, Millis, NodeName, Runtime, ShardName, SocketBudget } from '../kernel/index.js';
+import type { Tunables } from '../speculation/index.js';
+import type { Mirror, StateClient } from '../state/index.js';
+
+export interface OperatorView {
+  readonly tunables: Tunables;
+  readonly cordoned: ReadonlySet<string>;
+  readonly drained: ReadonlySet<string>;
+}
+
+export interface HolderDeps {
+  readonly self: NodeName;
+  readonly settings: Settings;
+  readonly state: StateClient;
+  readonly mirror: Mirror;
+  readonly registry: JobRegistry;
+  readonly runtime: Runtime;
+  /** Connections to workers, of all shards together. */
+  readonly sockets: SocketBudget;
+  readonly log: Logger;
+  types(): ReadonlyMap<string, MachineType>;
+  operator(): OperatorView;
+  /** Until when at least nobody else can have taken our shards over. */
+  heldUntil(): Millis;
+  /** True while nobody else can have claimed our shards, whatever the watch has not shown yet. */
+  certain(): boolean;
+  /** Something is to be done soon. */
+  nudge(): void;
+  /** A worker has answered. */
+  heard(): void;
+  /** Another shard that has room for this job now. */
+  roomElsewhere(from: ShardName, spec: JobSpec, count: number): ShardName | null;
+}
+
+export interface ReportReply {
+  readonly status: number;
+  readonly body: unknown;
+}
--- a/src/holder/held.ts
+++ b/src/holder/held.ts
@@ -1,6 +1,4 @@
-import type { MachineType } from '../cloud/index.js';
-import type { Settings } from '../config/index.js';
-import { decodeRecord, type JobRegistry, type JobSpec } from '../jobs/index.js';
+import { decodeRecord, type JobSpec } from '../jobs/index.js';
 import {
   isObject,
   jobId,
@@ -8,18 +6,14 @@
   revision,
   taskKey,
   type JobId,
-  type Logger,
   type MachineId,
   type Millis,
   type NodeName,
   type Revision,
-  type Runtime,
   type ShardName,
-  type SocketBudget,
 } from '../kernel/index.js';
 import type { PreviousHolder, ShardValue } from '../membership/index.js';
-import type { Tunables } from '../speculation/index.js';
-import { JOBS, shardKey, type Change, type Mirror, type StateClient } from '../state/index.js';
+import { JOBS, shardKey, type Change } from '../state/index.js';
 import {
   Whereabouts,
   encodeRedirect,
@@ -31,41 +25,7 @@
 import { bookingOf, type Booking } from './booking.js';
 import { HeldMachine } from './machine.js';
 import { JobRun, type ActiveTask, type StopReason } from './run.js';
-
-export interface OperatorView {
-  readonly tunables: Tunables;
-  readonly cordoned: ReadonlySet<string>;
-  readonly drained: ReadonlySet<string>;
-}
-
-export interface HolderDeps {
-  readonly self: NodeName;
-  readonly settings: Settings;
-  readonly state: StateClient;
-  readonly mirror: Mirror;
-  readonly registry: JobRegistry;
-  readonly runtime: Runtime;
-  /** Connections to workers, of all shards together. */
-  readonly sockets: SocketBudget;
-  readonly log: Logger;
-  types(): ReadonlyMap<string, MachineType>;
-  operator(): OperatorView;
-  /** Until when at least nobody else can have taken our shards over. */
-  heldUntil(): Millis;
-  /** True while nobody else can have claimed our shards, whatever the watch has not shown yet. */
-  certain(): boolean;
-  /** Something is to be done soon. */
-  nudge(): void;
-  /** A worker has answered. */
-  heard(): void;
-  /** Another shard that has room for this job now. */
-  roomElsewhere(from: ShardName, spec: JobSpec, count: number): ShardName | null;
-}
-
-export interface ReportReply {
-  readonly status: number;
-  readonly body: unknown;
-}
+import type { HolderDeps, ReportReply } from './deps.js';
 
 const FORGET_AT_ONCE = 6;
 /** How old what stopping a task would lose may be. */
--- a/src/holder/index.ts
+++ b/src/holder/index.ts
@@ -1,4 +1,4 @@
-export type { HolderDeps, OperatorView, ReportReply } from './held.js';
+export type { HolderDeps, OperatorView, ReportReply } from './deps.js';
 export * from './holder.js';
 export { HeldMachine } from './machine.js';
 export { JobRun } from './run.js';
