--- a/packages/region/src/hunt/hunt.ts
+++ b/packages/region/src/hunt/hunt.ts
@@ -6,7 +6,7 @@
 const MOST_TROUBLES = 9;
 const FIRST_AT_S = 20;
 
-/** A day without the troubles that `without` names, by their place. */
+/** The same day with other troubles and another seed. */
 const withTroubles = (day: Day, troubles: readonly Trouble[], seed: number): Day => ({
   ...day,
   seed,
--- a/packages/region/src/models/balancer.ts
+++ b/packages/region/src/models/balancer.ts
@@ -105,7 +105,7 @@
     const ok = answer.kind === 'answered' && answer.status === 200;
     if (!backend.probed(ok, this.runtime.now())) return;
     this.runtime.after(RESET_AFTER_MS, () => {
-      if (!backend.healthy) for (const session of [...backend.sessions]) session.reset();
+      if (!backend.healthy) for (const session of [...backend.sessions]) session.close();
     });
   }
 
@@ -170,8 +170,8 @@
     }
   }
 
-  /** The balancer breaks its connection. */
-  reset(): void {
+  /** Its connection is broken, by the balancer or by the user who is through. */
+  close(): void {
     if (this.open) this.leave(this.open);
   }
 
@@ -188,8 +188,4 @@
     open.client.close();
     if (this.open === open) this.open = undefined;
   }
-
-  close(): void {
-    this.reset();
-  }
 }
--- a/packages/region/src/parts.ts
+++ b/packages/region/src/parts.ts
@@ -68,7 +68,6 @@
   readonly userSeat: Seat;
   private readonly gangs: GangBook;
   private readonly facts: WorkerFacts;
-  private ready: Promise<readonly number[]> = Promise.resolve([]);
 
   constructor(private readonly options: PartsOptions) {
     const { day, luck, place } = options;
@@ -139,8 +138,7 @@
     const state = this.state.listen(this.stateSeat.at, log);
     const cloud = this.cloud.listen(this.cloudSeat.at, log);
     for (const { type, zone, spot, count } of day.machines) this.cloud.begin(type, zone, spot, count);
-    this.ready = Promise.all([state.ready, cloud.ready]);
-    return this.ready;
+    return Promise.all([state.ready, cloud.ready]);
   }
 
   /** Users come, and the balancer looks after the nodes. */
