--- a/packages/region/src/region.ts
+++ b/packages/region/src/region.ts
@@ -29,6 +29,8 @@
   /** Each line of the event log. */
   readonly event?: (line: string) => void;
   readonly broken?: (breach: Breach) => void;
+  /** Controllers keep so many of their last events for those who record them. */
+  readonly trailEvents?: number;
   /** For tests: what the controllers are told, instead of what is true. */
   readonly settings?: (toml: string) => string;
 }
@@ -160,7 +162,7 @@
   }
 
   private launch(controller: Controller, seats: readonly ControllerSeat[]): { process: SimProcess; service: Service } {
-    const { day, settings, controllerLog } = this.options;
+    const { day, settings, controllerLog, trailEvents } = this.options;
     const { seat, host, starts } = controller;
     const luck = this.luck.fork(`${seat.name} ${starts}`);
     const clocks = { drift: luck.between(0, 1) * day.controllers.drift, wanderMs: day.controllers.skew_ms / 2 };
@@ -177,7 +179,8 @@
           { write: (line: string) => controllerLog.write(line) },
         )
       : this.log;
-    const service = new Service(parseSettings(settings ? settings(toml) : toml), log, process);
+    const options = trailEvents === undefined ? {} : { trailEvents };
+    const service = new Service(parseSettings(settings ? settings(toml) : toml), log, process, options);
     this.note(`starts ${seat.name}`);
     return { process, service };
   }
--- a/src/admin/api.ts
+++ b/src/admin/api.ts
@@ -4,8 +4,24 @@
 const MARKS: readonly MachineMark[] = ['cordon', 'drain', 'uncordon'];
 const MACHINE = /^[A-Za-z0-9._-]{1,100}$/;
 
+/** What this node tells those who record. */
+export interface TrailView {
+  page(after: number, most: number): unknown;
+  /** What a replay needs to know besides: machine types, teams, limits. */
+  facts(): unknown;
+}
+
+const MOST_EVENTS = 1000;
+const COUNT = /^\d{1,15}$/;
+
+/** A whole number from the query; null when it is none. */
+function count(text: unknown, fallback: number): number | null {
+  if (text === undefined) return fallback;
+  return typeof text === 'string' && COUNT.test(text) ? Number(text) : null;
+}
+
 /** The administration API: operators' settings, and what this node sees. */
-export function adminRouter(store: SettingsStore, status: () => unknown): Router {
+export function adminRouter(store: SettingsStore, status: () => unknown, trail: TrailView | null): Router {
   const router = Router();
   const later = { error: 'the state service gives no answer, try again' };
 
@@ -13,6 +29,20 @@
     res.json(status());
   });
 
+  router.get('/trail', (req, res) => {
+    const after = count(req.query['after'], 0);
+    const limit = count(req.query['limit'], MOST_EVENTS);
+    if (!trail) res.status(404).json({ error: 'this controller keeps no trail: serve --trail EVENTS' });
+    else if (after === null) res.status(400).json({ error: 'after: must be a whole number' });
+    else if (limit === null || limit < 1) res.status(400).json({ error: 'limit: must be a whole number from 1' });
+    else res.json(trail.page(after, Math.min(limit, MOST_EVENTS)));
+  });
+
+  router.get('/trail/facts', (_req, res) => {
+    if (!trail) res.status(404).json({ error: 'this controller keeps no trail: serve --trail EVENTS' });
+    else res.json(trail.facts());
+  });
+
   router.get('/settings', async (_req, res) => {
     const settings = await store.read();
     if (settings) res.json(encodeSettings(settings));
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -4,14 +4,14 @@
 import { Command, InvalidArgumentError } from 'commander';
 import { loadSettings, SettingsError } from '../config/index.js';
 import { createLogger, HttpClient, parseAddress, systemRuntime, type Call } from '../kernel/index.js';
-import { Service } from '../service/index.js';
+import { Service, type ServiceOptions } from '../service/index.js';
 
 declare const WOODDRIFT_VERSION: string | undefined;
 
 const version = typeof WOODDRIFT_VERSION === 'string' ? WOODDRIFT_VERSION : 'development';
 const CLI_TIMEOUT_MS = 8000;
 
-function serve(configPath: string): void {
+function serve(configPath: string, options: ServiceOptions): void {
   let settings;
   try {
     settings = loadSettings(configPath);
@@ -25,7 +25,7 @@
   // No input and no rejected promise may end the service; what gets here is a defect and is logged.
   process.on('uncaughtException', (error) => log.error({ err: error }, 'an error reached the top'));
   process.on('unhandledRejection', (error) => log.error({ err: error }, 'a rejected promise reached the top'));
-  new Service(settings, log, systemRuntime).start();
+  new Service(settings, log, systemRuntime, options).start();
 }
 
 const address = (text: string): string => {
@@ -33,6 +33,14 @@
   return text;
 };
 
+const MOST_TRAIL = 1_000_000;
+const events = (text: string): number => {
+  const n = Number(text);
+  if (!Number.isInteger(n) || n < 1 || n > MOST_TRAIL)
+    throw new InvalidArgumentError(`a whole number from 1 to ${MOST_TRAIL}`);
+  return n;
+};
+
 /** Asks a controller and prints its answer; a status that is no success gives a non-zero exit. */
 async function ask(node: string, call: Omit<Call, 'timeoutMs'>): Promise<void> {
   const target = parseAddress(node);
@@ -67,7 +75,10 @@
   .command('serve')
   .description('run a controller')
   .requiredOption('--config <file>', 'settings file (TOML)')
-  .action((options: { config: string }) => serve(options.config));
+  .option('--trail <events>', 'keep so many of the last events for `wooddrift record`', events)
+  .action(({ config, trail }: { config: string; trail?: number }) =>
+    serve(config, trail === undefined ? {} : { trailEvents: trail }),
+  );
 
 const withNode = (command: Command): Command =>
   command.requiredOption('--node <address>', 'address of any controller', address, process.env['WOODDRIFT_NODE']);
@@ -133,12 +144,19 @@
   }
 }
 
-program.command('region').description('play whole days in simulated time, or serve their models on loopback');
+/** Named here for the help alone: the tools' bundle has them. */
+const TOOLS = new Map([
+  ['region', 'play whole days in simulated time, or serve their models on loopback'],
+  ['record', 'record what controllers tell of a night, with every gap'],
+  ['trace', 'look into what was recorded'],
+  ['whatif', 'replay a recorded night, unchanged or against a changed plan'],
+]);
+for (const [name, description] of TOOLS) program.command(name).description(description);
 
 // `wooddrift --config FILE` is short for `wooddrift serve --config FILE`.
 const args = process.argv.slice(2);
-const shorthand = args[0] === '--config' ? ['serve', ...args] : args;
-if (args[0] === 'region') runTools();
+const shorthand = args[0] === '--config' || args[0] === '--trail' ? ['serve', ...args] : args;
+if (TOOLS.has(args[0] ?? '')) runTools();
 else
   program.parseAsync(shorthand, { from: 'user' }).catch((error: unknown) => {
     process.stderr.write(`wooddrift: ${error instanceof Error ? error.message : String(error)}\n`);
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -72,6 +72,7 @@
   readonly kind: string;
   readonly jobClass: string | null;
   readonly withinS: number | null;
+  readonly share: number | null;
 }
 
 export interface Settings {
@@ -83,6 +84,8 @@
   readonly cloud: Address;
   readonly state: Address;
   readonly zones: readonly string[];
+  /** How far apart the controllers' times of day may be. */
+  readonly skewMs: number;
   readonly teams: ReadonlyMap<string, TeamFacts>;
   readonly objectives: readonly Objective[];
   readonly workers: {
@@ -130,6 +133,7 @@
     cloud: must(s.services.cloud),
     state: must(s.services.state),
     zones: s.facts.zones,
+    skewMs: s.facts.skew_ms,
     teams: new Map(
       s.facts.teams.map((t) => [t.name, { cpus: t.cpus, cpusMax: t.cpus_max, gpus: t.gpus, gpusMax: t.gpus_max }]),
     ),
@@ -137,6 +141,7 @@
       kind: o.kind,
       jobClass: o.class ?? null,
       withinS: o.within_s ?? null,
+      share: o.share ?? null,
     })),
     workers: {
       reportMs: s.facts.workers.report_s * 1000,
--- a/src/holder/deps.ts
+++ b/src/holder/deps.ts
@@ -4,6 +4,7 @@
 import type { Logger, Millis, NodeName, Runtime, ShardName, SocketBudget } from '../kernel/index.js';
 import type { Tunables } from '../speculation/index.js';
 import type { Mirror, StateClient } from '../state/index.js';
+import type { Trail } from '../trail/index.js';
 
 export interface OperatorView {
   readonly tunables: Tunables;
@@ -21,6 +22,8 @@
   /** Connections to workers, of all shards together. */
   readonly sockets: SocketBudget;
   readonly log: Logger;
+  /** What happens here is told to those who record it; null: nobody does. */
+  readonly trail: Trail | null;
   types(): ReadonlyMap<string, MachineType>;
   operator(): OperatorView;
   /** Until when at least nobody else can have taken our shards over. */
--- a/src/holder/held.ts
+++ b/src/holder/held.ts
@@ -131,6 +131,8 @@
         this.deps.sockets,
       );
       this.machines.set(info.id, machine);
+      const { id, type, zone, spot } = info;
+      this.deps.trail?.note({ kind: 'joined', machine: id, type, zone, spot });
     }
     for (const [id, machine] of this.machines) {
       if (wanted.has(id)) continue;
@@ -181,6 +183,8 @@
     const fresh = new JobRun(record, change.version, born, this.deps.runtime.now());
     if (run) this.endedRuns.delete(run);
     this.jobs.set(id, fresh);
+    const { spec, submittedAt } = record;
+    this.deps.trail?.note({ kind: 'job', job: id, spec, submittedAt, shard: this.shard });
     // Tasks of it may be listed already: this is a takeover, or the watch was late.
     for (const name of this.whereabouts.machinesOfJob(id)) {
       const machine = this.machines.get(name);
@@ -243,6 +247,8 @@
     if (verdict === 'taken') {
       const noticed = (message.noticeS === null) !== (machine.noticeUntil === null);
       machine.noticeUntil = message.noticeS === null ? null : millis(now + message.noticeS * 1000);
+      if (noticed && message.noticeS !== null)
+        this.deps.trail?.note({ kind: 'notice', machine: machine.id, leftS: message.noticeS });
       if (generation !== machine.belief.generation || machine.lost || noticed || fenced !== machine.belief.fenced) {
         machine.lost = false;
         this.sync(machine);
@@ -347,7 +353,10 @@
       if (listed.state === 'running') {
         active.runningAt ??= now;
         run.startedAt ??= now;
-        machine.noteImage(run.spec.image);
+        const { index, attempt, adopted } = active;
+        this.deps.trail?.note({ kind: 'began', job: run.id, index, attempt, machine: machine.id, adopted });
+        if (machine.noteImage(run.spec.image))
+          this.deps.trail?.note({ kind: 'image', machine: machine.id, image: run.spec.image });
       }
     }
   }
@@ -397,17 +406,21 @@
     const known = machine.faulty(now);
     machine.noteFailure(run.id, now);
     this.deps.log.debug({ job: run.id, index, machine: machine.id }, 'a task failed');
-    if (!known && machine.faulty(now))
-      this.deps.log.info(
-        { machine: machine.id, job: run.id },
-        'a machine fails what is started there: nothing new goes there',
-      );
+    if (known || !machine.faulty(now)) return;
+    this.deps.trail?.note({ kind: 'faulty', machine: machine.id });
+    this.deps.log.info(
+      { machine: machine.id, job: run.id },
+      'a machine fails what is started there: nothing new goes there',
+    );
   }
 
   private release(machine: HeldMachine, run: JobRun, active: ActiveTask, why: string): void {
     run.noteRunning(active, this.deps.runtime.now());
     run.active.delete(active.index);
     machine.active.delete(taskKey(run.id, active.index));
+    const { index, attempt } = active;
+    const ran = active.runningAt !== null;
+    this.deps.trail?.note({ kind: 'left', job: run.id, index, attempt, machine: machine.id, why, ran });
     this.deps.log.debug({ job: run.id, index: active.index, machine: machine.id, why }, 'a task is off its machine');
     if (run.spec.kind === 'gang' && !run.done.has(active.index)) {
       // The attempt is broken: the rest leaves by itself or is told to, then all start again.
@@ -424,6 +437,8 @@
     if (active.stopping) return;
     if (reason === 'cancelled' || reason === 'regroup') graceS = 0;
     active.stopping = { reason, since: this.deps.runtime.now(), graceS };
+    const { index, attempt } = active;
+    this.deps.trail?.note({ kind: 'stopping', job: run.id, index, attempt, machine: active.machine, why: reason });
     const machine = this.machines.get(active.machine);
     if (machine) {
       this.toStop.add(machine);
--- a/src/holder/holder.ts
+++ b/src/holder/holder.ts
@@ -105,6 +105,7 @@
       machine.lost = true;
       machine.belief.expire();
       this.unfence(machine.id);
+      this.deps.trail?.note({ kind: 'lost', machine: machine.id });
       this.deps.log.info({ machine: machine.id }, 'a worker is silent and its lease is over');
       this.releaseAll(machine, 'lease over');
     }
--- a/src/holder/machine.ts
+++ b/src/holder/machine.ts
@@ -58,9 +58,12 @@
     return this.info.id;
   }
 
-  noteImage(image: string): void {
-    if (image === '' || this.images[0] === image) return;
+  /** True when the machine is not known to have had it. */
+  noteImage(image: string): boolean {
+    if (image === '' || this.images[0] === image) return false;
+    const fresh = !this.images.includes(image);
     this.images = [image, ...this.images.filter((known) => known !== image)].slice(0, 8);
+    return fresh;
   }
 
   get imageList(): readonly string[] {
--- a/src/holder/run.ts
+++ b/src/holder/run.ts
@@ -57,6 +57,8 @@
   /** Machines that this job keeps away from, and until when. */
   readonly avoid = new Map<MachineId, Millis>();
   unplacedSince: Millis | null = null;
+  /** Those who record this know that it waits. */
+  waitTold = false;
   moving = false;
   /** When another shard was last looked for. */
   lookedAt: Millis | null = null;
--- a/src/holder/starts.ts
+++ b/src/holder/starts.ts
@@ -16,6 +16,7 @@
   relevance,
   type MachineView,
   type PendingJob,
+  type Plan,
   type Reserve,
   type TeamUse,
 } from '../placement/index.js';
@@ -38,12 +39,16 @@
 /** Each move is a write: a swarm of small jobs must not spend what accepting and finishing them needs. */
 const MOVES_EVERY_MS = 150;
 const MOVE_AFTER_MS = 1200;
+/** Those who record it are told of a wait that lasts, and of a plan now and then. */
+const WAIT_TOLD_MS = 1000;
+const PLAN_TOLD_EVERY_MS = 5000;
 
 /** Places what is ready to start, and tells what finds no room. */
 export class Starts {
   private attempts = 0;
   demand: DemandSummary[] = [];
   private largestGpuTask: Reserve | null = null;
+  private planToldAt: Millis | null = null;
 
   constructor(
     private readonly held: HeldShard,
@@ -208,6 +213,7 @@
     }
     const reserve = this.reserve();
     const plan = planPlacement({ machines: views, pending, teams, maxStarts: 200, reserve });
+    this.tell(plan, pending, now);
     for (const stop of plan.stops) {
       const run = this.held.jobs.get(stop.job);
       const active = run?.active.get(stop.index);
@@ -249,6 +255,20 @@
     this.noteDemand(plan.unplaced, now);
   }
 
+  private tell({ starts, stops, unplaced }: Plan, pending: readonly PendingJob[], now: Millis): void {
+    const { trail } = this.held.deps;
+    if (!trail || (this.planToldAt !== null && now - this.planToldAt < PLAN_TOLD_EVERY_MS)) return;
+    this.planToldAt = now;
+    trail.note({
+      kind: 'plan',
+      shard: this.held.shard,
+      ready: pending.reduce((sum, job) => sum + job.ready.length, 0),
+      starts: starts.length,
+      stops: stops.length,
+      unplaced: unplaced.reduce((sum, { count }) => sum + count, 0),
+    });
+  }
+
   /** A task may be started only if it is possibly nowhere. */
   private possiblyAnywhere(key: TaskKey): boolean {
     for (const id of this.held.whereabouts.machinesOf(key))
@@ -272,7 +292,11 @@
   private noteDemand(unplaced: readonly { readonly job: JobId; readonly count: number }[], now: Millis): void {
     let looks = 0;
     const waiting = new Set(unplaced.map((u) => u.job));
-    for (const run of this.held.jobs.values()) if (!waiting.has(run.id)) run.unplacedSince = null;
+    for (const run of this.held.jobs.values()) {
+      if (waiting.has(run.id)) continue;
+      run.unplacedSince = null;
+      run.waitTold = false;
+    }
     this.demand = [];
     for (const { job, count } of unplaced) {
       const run = this.held.jobs.get(job);
@@ -282,6 +306,10 @@
       // A moment's wait is a command on its way, not a lack of machines.
       if (now - run.unplacedSince < 150) continue;
       const missing = run.spec.kind === 'gang' ? count : Math.max(count, run.missing);
+      if (!run.waitTold && now - run.unplacedSince >= WAIT_TOLD_MS) {
+        run.waitTold = true;
+        this.held.deps.trail?.note({ kind: 'waits', job, missing });
+      }
       this.demand.push({
         job,
         priority: run.spec.priority,
--- a/src/jobs/registry.ts
+++ b/src/jobs/registry.ts
@@ -34,6 +34,8 @@
   chooseShard(spec: JobSpec): ShardName | null;
   running(id: JobId): { running: number; done: number };
   cancelled(id: JobId): void;
+  /** It is known here, for the first time, to be over. */
+  ended(id: JobId, final: JobFinal): void;
 }
 
 const later = (reason: string): Outcome => ({ kind: 'later', reason });
@@ -84,7 +86,9 @@
       const oldest = this.finals.keys().next();
       if (!oldest.done) this.finals.delete(oldest.value);
     }
+    const known = this.finals.has(id);
     this.finals.set(id, final);
+    if (!known) this.hooks.ended(id, final);
   }
 
   async submit(spec: JobSpec): Promise<Outcome> {
--- a/src/leasing/leader.ts
+++ b/src/leasing/leader.ts
@@ -20,6 +20,7 @@
   type ShardDirectory,
 } from '../membership/index.js';
 import type { PeerMessage, ShardSummary } from '../peers/index.js';
+import type { Trail } from '../trail/index.js';
 import { jobKey, JOBS, LEADER, shardKey, Urgency, type Mirror, type StateClient } from '../state/index.js';
 import type { WorkerMessage } from '../workers/index.js';
 import { inCalls, kindKey, planLeases, type LooseMachine, type RentWish } from './plan.js';
@@ -31,6 +32,8 @@
   readonly cloud: CloudClient;
   readonly runtime: Runtime;
   readonly log: Logger;
+  /** null: nobody records. */
+  readonly trail: Trail | null;
   readonly listLagMs: number;
   /** How large a value the state service takes. */
   readonly valueKb: number;
@@ -127,6 +130,7 @@
     const now = this.deps.runtime.now();
     if (term !== this.term) {
       this.term = term;
+      this.deps.trail?.note({ kind: 'leads' });
       this.known.clear();
       this.startedAt = now;
       this.listAt = millis(-1e9);
@@ -279,6 +283,7 @@
     this.deps.log.info({ machines: ids }, 'gave back machines that were lost or faulty');
     for (const id of ids) {
       this.bury(id);
+      this.deps.trail?.note({ kind: 'returned', machine: id, why: 'lost or faulty' });
       this.asked.set(id, now);
     }
     await this.takeOut(new Set(ids));
@@ -340,7 +345,9 @@
     if (!(await this.deps.cloud.giveBack(batch))) return;
     this.deps.log.info({ machines: batch }, 'gave machines back');
     for (const id of batch) {
+      const why = this.releasing.has(id) ? 'idle' : 'in no block';
       this.bury(id);
+      this.deps.trail?.note({ kind: 'returned', machine: id, why });
       this.releasing.delete(id);
     }
   }
@@ -359,11 +366,18 @@
         const result = await this.deps.cloud.rent({ ...wish, name });
         const now = this.deps.runtime.now();
         if (result.kind === 'rented') {
-          for (const id of result.ids) this.learn(id, wish.type, wish.zone, wish.spot, now);
+          const { type, zone, spot } = wish;
+          for (const id of result.ids) {
+            this.learn(id, type, zone, spot, now);
+            this.deps.trail?.note({ kind: 'rented', machine: id, type, zone, spot });
+          }
           this.deps.log.info({ ...wish, got: result.ids.length }, 'rented machines');
         }
         if (result.kind === 'no-capacity' || (result.kind === 'rented' && result.ids.length < wish.count)) {
           this.refused.set(kindKey(wish.type, wish.zone, wish.spot), now);
+          const { type, zone, spot, count: wanted } = wish;
+          const got = result.kind === 'rented' ? result.ids.length : 0;
+          this.deps.trail?.note({ kind: 'short', type, zone, spot, wanted, got });
         }
       }
     } finally {
--- a/src/service/service.ts
+++ b/src/service/service.ts
@@ -1,4 +1,4 @@
-import { adminRouter, SettingsStore } from '../admin/index.js';
+import { adminRouter, encodeSettings, SettingsStore, type TrailView } from '../admin/index.js';
 import { CloudClient, type MachineType } from '../cloud/index.js';
 import type { Settings } from '../config/index.js';
 import { ShardHolder, type HolderDeps, type ReportReply } from '../holder/index.js';
@@ -20,6 +20,7 @@
 import { JOBS, LIVE, Mirror, shardKey, SHARDS, StateClient, TYPES, Urgency, type Change } from '../state/index.js';
 import { encodeRedirect, probeWorkers, PROBES, Reach, type WorkerMessage } from '../workers/index.js';
 import { createApp, laneRoutes, listen, type Handlers, type Listener } from './http.js';
+import { Trail } from '../trail/index.js';
 import { ShardRoutes } from './routes.js';
 import { UserDesk } from './users.js';
 
@@ -36,6 +37,11 @@
 const incoming = (most: number): number => Math.max(50, Math.floor(most * 0.7));
 const outgoing = (most: number): number => Math.max(20, most - incoming(most) - KEPT_SOCKETS);
 
+export interface ServiceOptions {
+  /** How many of its last events it keeps for those who record them; none are kept when not given. */
+  readonly trailEvents?: number;
+}
+
 /** One controller: all slices put together. */
 export class Service {
   private readonly incarnation: Incarnation;
@@ -62,12 +68,15 @@
   private readonly loops: ReconcileLoop[] = [];
   private server: Listener | undefined;
   private typesAt = 0;
+  private readonly trail: Trail | null;
 
   constructor(
     private readonly settings: Settings,
     private readonly log: Logger,
     private readonly runtime: Runtime,
+    options: ServiceOptions = {},
   ) {
+    this.trail = options.trailEvents === undefined ? null : new Trail(options.trailEvents, runtime);
     this.incarnation = incarnation(runtime.uniqueId());
     this.reach = new Reach(runtime.now());
     this.sockets = new SocketBudget(outgoing(settings.maxConnections));
@@ -119,6 +128,7 @@
         chooseShard: (spec) => this.routes.choose(spec),
         running: (id) => this.routes.running(id),
         cancelled: (id) => this.peers.broadcast({ kind: 'cancelled', job: id }),
+        ended: (id, { phase, done }) => this.trail?.note({ kind: 'ended', job: id, phase, done }),
       },
       runtime,
       log,
@@ -137,6 +147,7 @@
       cloud: this.cloud,
       runtime,
       log,
+      trail: this.trail,
       listLagMs: settings.cloudLimits.listLagMs,
       valueKb: settings.stateLimits.valueKb,
       shards: this.directory,
@@ -166,7 +177,8 @@
     this.mirror.changes.subscribe((change) => this.onChange(change));
     this.peers.received.subscribe((received) => this.onPeer(received));
     this.peers.start();
-    const admin = adminRouter(this.settingsStore, () => this.status());
+    const admin = adminRouter(this.settingsStore, () => this.status(), this.trail && this.trailView(this.trail));
+    this.trail?.note({ kind: 'up' });
     const handlers: Handlers = {
       healthy: () => this.healthy(),
       serve: (request) => this.desk.serve(request),
@@ -237,6 +249,7 @@
       if (holder) this.dropShard(shard, holder);
     } else if (holder) holder.onShard(value, change.version);
     else {
+      this.trail?.note({ kind: 'claimed', shard });
       const previous = this.membership.previousOf(shard);
       const last = this.routes.last(shard)?.machines ?? [];
       const faulty = last.filter((machine) => machine.faulty).map((machine) => machine.id);
@@ -250,6 +263,7 @@
     holder.drop();
     this.holders.delete(shard);
     this.routes.forget(shard);
+    this.trail?.note({ kind: 'dropped', shard });
   }
 
   private holderDeps(): HolderDeps {
@@ -262,6 +276,7 @@
       runtime: this.runtime,
       sockets: this.sockets,
       log: this.log,
+      trail: this.trail,
       types: () => this.types,
       operator: () => this.settingsStore.current,
       heldUntil: () => this.membership.heldUntilAtLeast,
@@ -455,6 +470,18 @@
     await this.state.txn(Urgency.progress, guards, [{ put: TYPES, value: types }]);
   }
 
+  private trailView(trail: Trail): TrailView {
+    const { node, zones, skewMs, teams, objectives, workers, stateLimits, cloudLimits } = this.settings;
+    return {
+      page: (after, most) => ({ node, incarnation: this.incarnation, ...trail.page(after, most) }),
+      facts: () => ({
+        ...{ node, zones, skewMs, teams: Object.fromEntries(teams), objectives },
+        ...{ workers, state: stateLimits, cloud: cloudLimits, types: [...this.types.values()] },
+        settings: encodeSettings(this.settingsStore.current),
+      }),
+    };
+  }
+
   private status(): unknown {
     return {
       node: this.settings.node,
--- a/test/registry.test.ts
+++ b/test/registry.test.ts
@@ -57,6 +57,7 @@
         types: () => made.types,
         chooseShard: () => shardName('n-0'),
         running: () => ({ running: 0, done: 0 }),
+        ended: () => undefined,
         cancelled: (id) => cancelled.push(id),
       },
       runtime,
