Recording a night: controllers' trails as Parquet segments, with every gap

Need: the events of all controllers as one night, each once, whatever crashed meanwhile. Change: packages/trace follows the trails with cursors, merges by what an event is called, keeps what is missing as gaps with bounds, and writes segments beside and renames them under a checksummed manifest.

--- /dev/null
+++ b/packages/trace/src/index.ts
@@ -0,0 +1,24 @@
+export { mergeRows, readTrace, verifyTrace, type Trace } from './read.js';
+export {
+  Recorder,
+  advance,
+  begin,
+  readPage,
+  unread,
+  type Page,
+  type RecorderOptions,
+  type Source,
+} from './record/index.js';
+export {
+  detailOf,
+  diskFiles,
+  encodeManifest,
+  readEvent,
+  TraceError,
+  TraceStore,
+  type Cursor,
+  type Files,
+  type Gap,
+  type Manifest,
+  type TraceRow,
+} from './store/index.js';
