--- /dev/null
+++ b/packages/region/src/cli/command.ts
@@ -0,0 +1,263 @@
+import { mkdirSync, readFileSync, writeFileSync } from 'node:fs';
+import { basename, join } from 'node:path';
+import { SingleBar, Presets } from 'cli-progress';
+import { Command, InvalidArgumentError } from 'commander';
+import { createLogger } from '../../../../src/kernel/index.js';
+import { readDay, type Day } from '../day/index.js';
+import { hunt, playOnce, writeDay } from '../hunt/index.js';
+import { ENDED, measureRecovery, measureSpeed } from '../measure/index.js';
+import { Region, type DayResult } from '../region.js';
+import { dayPage, dayTable } from '../report/index.js';
+import { settingsFor } from '../settings.js';
+import { loopbackSeats, serveRegion } from '../real.js';
+
+/** The days that ship with the package, as TOML by name; put in when the bundle is made. */
+declare const SHIPPED_DAYS: Readonly<Record<string, string>>;
+
+/** What was asked for is not there, or makes no sense. */
+export class UsageError extends Error {}
+
+function loadDay(given: string): Day {
+  const shipped = SHIPPED_DAYS[given];
+  if (shipped !== undefined) return readDay(shipped, `${given}.toml`);
+  let toml: string;
+  try {
+    toml = readFileSync(given, 'utf8');
+  } catch {
+    const names = Object.keys(SHIPPED_DAYS).join(', ');
+    throw new UsageError(`${given}: no such file, and no day of that name (${names})`);
+  }
+  return readDay(toml, given);
+}
+
+const whole = (text: string): number => {
+  const n = Number(text);
+  if (text.trim() === '' || !Number.isInteger(n) || n < 0 || n > 2 ** 31)
+    throw new InvalidArgumentError('a whole number from 0');
+  return n;
+};
+const positive = (text: string): number => {
+  const n = Number(text);
+  if (!(n > 0 && Number.isFinite(n))) throw new InvalidArgumentError('a number above 0');
+  return n;
+};
+const speed = (text: string): number | null => (text === 'max' ? null : positive(text));
+const LEVELS = ['error', 'warn', 'info', 'debug'];
+const level = (text: string): string => {
+  if (!LEVELS.includes(text)) throw new InvalidArgumentError(`one of ${LEVELS.join(', ')}`);
+  return text;
+};
+
+interface PlayFlags {
+  readonly seed?: number;
+  readonly speed: number | null;
+  readonly out?: string;
+  readonly log?: string;
+  readonly json?: true;
+  readonly report?: string;
+}
+
+/** Waits so that simulated time doesn't run ahead of `times` real time. */
+function pacer(times: number): (nowMs: number) => Promise<void> | undefined {
+  const began = performance.now();
+  return (nowMs) => {
+    const aheadMs = nowMs / times - (performance.now() - began);
+    return aheadMs > 5 ? new Promise((resolve) => setTimeout(resolve, aheadMs)) : undefined;
+  };
+}
+
+function writeOut(dir: string, files: Readonly<Record<string, readonly string[]>>): void {
+  mkdirSync(dir, { recursive: true });
+  for (const [name, lines] of Object.entries(files)) writeFileSync(join(dir, name), lines.join(''));
+}
+
+async function play(given: string, flags: PlayFlags): Promise<void> {
+  const day = loadDay(given);
+  const events: string[] = [];
+  const logs: string[] = [];
+  const region = new Region({
+    day,
+    ...(flags.seed === undefined ? {} : { seed: flags.seed }),
+    ...(flags.out === undefined ? {} : { event: (line: string) => events.push(line) }),
+    ...(flags.log === undefined
+      ? {}
+      : {
+          controllerLog: {
+            level: flags.log,
+            write: (line: string) => (flags.out === undefined ? process.stderr.write(line) : logs.push(line)),
+          },
+        }),
+  });
+  const bar = new SingleBar(
+    { format: `${day.name} {bar} {percentage} % of {total} s`, clearOnComplete: true, hideCursor: true },
+    Presets.shades_classic,
+  );
+  const shown = process.stderr.isTTY && flags.json !== true && (flags.log === undefined || flags.out !== undefined);
+  if (shown) bar.start(day.duration_s, 0);
+  let stopped = false;
+  // What has been played so far is still told.
+  process.once('SIGINT', () => {
+    stopped = true;
+  });
+  const pace = flags.speed === null ? undefined : pacer(flags.speed);
+  await region.play(day.duration_s, {
+    stop: () => stopped,
+    moved: (nowMs) => {
+      if (shown) bar.update(Math.floor(nowMs / 1000));
+      return pace?.(nowMs);
+    },
+  });
+  if (shown) bar.stop();
+  const result = region.close();
+  if (flags.out !== undefined) {
+    const json = `${JSON.stringify(result, null, 2)}\n`;
+    writeOut(flags.out, {
+      'events.log': events,
+      'result.json': [json],
+      ...(logs.length > 0 ? { 'controllers.log': logs } : {}),
+    });
+  }
+  if (flags.report !== undefined) writeFileSync(flags.report, await dayPage(result, day));
+  process.stdout.write(`${flags.json ? JSON.stringify(result, null, 2) : dayTable(result)}\n`);
+  process.exitCode = verdict(result);
+}
+
+/** 1: a rule was broken, or something failed that never may. */
+const verdict = ({ breaches, defects }: DayResult): number => (breaches.length + defects.length > 0 ? 1 : 0);
+
+async function serve(
+  given: string,
+  flags: { seed?: number; basePort: number; out: string; users?: true },
+): Promise<void> {
+  const day = loadDay(given);
+  const log = createLogger(process.env['LOG_LEVEL'], 'region');
+  const note = (what: string): void => log.info(what);
+  const seats = loopbackSeats(day, flags.basePort);
+  const region = await serveRegion(day, flags.seed ?? day.seed, seats, log, note);
+  const files: Record<string, readonly string[]> = {};
+  for (const seat of seats) files[`${seat.name}.toml`] = [settingsFor(day, seat, seats, region)];
+  writeOut(flags.out, files);
+  process.stdout.write('The models are up. Start each controller in a shell of its own:\n\n');
+  for (const name of Object.keys(files))
+    process.stdout.write(`  node target/main.cjs serve --config ${join(flags.out, name)}\n`);
+  const [first] = seats;
+  if (first)
+    process.stdout.write(`\nthen, for example: export WOODDRIFT_NODE=${first.serveOn.host}:${first.serveOn.port}\n`);
+  if (flags.users) region.parts.open();
+  else process.stdout.write('No users come; --users plays those of the day.\n');
+  process.stdout.write('Ctrl-C ends the models.\n');
+}
+
+interface HuntFlags {
+  readonly minutes: number;
+  readonly seed: number;
+  readonly out: string;
+}
+
+async function huntFor(given: string, flags: HuntFlags): Promise<void> {
+  const day = loadDay(given);
+  const until = performance.now() + flags.minutes * 60_000;
+  const found = await hunt(day, {
+    seed: flags.seed,
+    goOn: () => performance.now() < until,
+    told: (line) => process.stderr.write(`${line}\n`),
+  });
+  if (!found) {
+    process.stdout.write('no rule was broken\n');
+    return;
+  }
+  mkdirSync(flags.out, { recursive: true });
+  const file = join(flags.out, `${basename(found.day.name)}-${found.day.seed}.toml`);
+  writeFileSync(file, writeDay(found.day));
+  const again = await playOnce(found.day);
+  process.stdout.write(`${dayTable(again)}\n\nshrunk to ${found.day.troubles.length} troubles: ${file}\n`);
+  process.exitCode = 1;
+}
+
+export const regionCommand = new Command('region').description(
+  'whole days in simulated time: wooddrift among models of all else',
+);
+
+const dayArgument = [
+  '<day>',
+  `a day's file (TOML), or one that ships: ${Object.keys(SHIPPED_DAYS).join(', ')}`,
+] as const;
+
+regionCommand
+  .command('play')
+  .description('play a day in simulated time and say how it went')
+  .argument(...dayArgument)
+  .option('--seed <n>', "instead of the day's own", whole)
+  .option('--speed <times>', 'simulated seconds a second; max: as fast as it goes', speed, null)
+  .option('--out <dir>', 'write the event log and the result there')
+  .option('--log <level>', 'logs of the controllers, to standard error or to --out', level)
+  .option('--report <file>', 'write a page (HTML) with charts over time; it needs no network')
+  .option('--json', 'the result as JSON')
+  .action((day: string, flags: PlayFlags) => play(day, flags));
+
+regionCommand
+  .command('serve')
+  .description("serve a day's models on loopback in real time, for controllers that you start yourself; no troubles")
+  .argument(...dayArgument)
+  .option('--seed <n>', "instead of the day's own", whole)
+  .option('--base-port <n>', 'first port of the controllers', whole, 18_080)
+  .option('--out <dir>', 'where the settings files go', 'region-settings')
+  .option('--users', "the day's users come, too")
+  .action((day: string, flags: { seed?: number; basePort: number; out: string; users?: true }) => serve(day, flags));
+
+regionCommand
+  .command('hunt')
+  .description('play drawn schedules of troubles until a rule breaks, and shrink what breaks it to a short day')
+  .argument(...dayArgument)
+  .option('--minutes <n>', 'for how long', positive, 5)
+  .option('--seed <n>', 'of the first schedule', whole, 1)
+  .option('--out <dir>', 'where the shrunk day goes', 'region-found')
+  .action((day: string, flags: HuntFlags) => huntFor(day, flags));
+
+regionCommand
+  .command('check')
+  .description('read a day and say what is wrong with it')
+  .argument(...dayArgument)
+  .action((given: string) => {
+    const day = loadDay(given);
+    process.stdout.write(
+      `${day.name}: ${day.duration_s} s, ${day.controllers.count} controllers, ${day.classes.length} classes, ${day.troubles.length} troubles\n`,
+    );
+  });
+
+interface MeasureFlags {
+  readonly machines: number;
+  readonly seed: number;
+  readonly seconds: number;
+  readonly rps: number;
+  readonly writeRps: number;
+}
+
+const measure = regionCommand
+  .command('measure')
+  .description('measurements on fleets of any size, one JSON object a line');
+measure
+  .command('speed')
+  .description('how fast a fleet plays, and in how much memory')
+  .option('--machines <n>', 'how many', whole, 900)
+  .option('--seconds <n>', 'of simulated time', whole, 120)
+  .action(async ({ machines, seconds }: MeasureFlags) => {
+    const speed = await measureSpeed(
+      machines,
+      seconds,
+      () => performance.now(),
+      () => process.memoryUsage().rss,
+    );
+    process.stdout.write(`${JSON.stringify(speed)}\n`);
+  });
+measure
+  .command('recovery')
+  .description('how long it takes from the end of controllers to the last report answered and the first start')
+  .option('--machines <n>', 'how many', whole, 900)
+  .option('--seed <n>', 'of the day', whole, 1)
+  .option('--rps <n>', "the state service's requests a second", positive, 200)
+  .option('--write-rps <n>', 'and changes a second', positive, 40)
+  .action(async ({ machines, seed, rps, writeRps }: MeasureFlags) => {
+    for (const ended of ENDED)
+      process.stdout.write(`${JSON.stringify(await measureRecovery({ machines, ended, seed, rps, writeRps }))}\n`);
+  });
--- /dev/null
+++ b/packages/region/src/cli/index.ts
@@ -0,0 +1,1 @@
+export { regionCommand, UsageError } from './command.js';
--- /dev/null
+++ b/packages/trace/src/cli/index.ts
@@ -0,0 +1,1 @@
+export { recordCommand, traceCommand } from './command.js';
--- /dev/null
+++ b/packages/whatif/src/cli/index.ts
@@ -0,0 +1,1 @@
+export { whatifCommand } from './command.js';
--- /dev/null
+++ b/packages/whatif/src/measure/index.ts
@@ -0,0 +1,1 @@
+export { predict, reproduce, replaySpeed, type Predicted, type ReplaySpeed, type Reproduced } from './measure.js';
--- /dev/null
+++ b/packages/whatif/src/night/index.ts
@@ -0,0 +1,5 @@
+export type { NightFacts } from './facts.js';
+export { kindOf, readNight, type JobSeen, type MachineSeen, type Night } from './night.js';
+export { outcomesOf, type Outcome } from './outcome.js';
+export { knownRuns, RunFits, type KnownRuns } from './runs.js';
+export { capacityFor, scenarioOf, type PlayedJob, type PlayedMachine, type Scenario } from './scenario.js';
--- /dev/null
+++ b/packages/whatif/src/replay/whole.ts
@@ -0,0 +1,163 @@
+import { pino } from 'pino';
+import { stringify } from 'smol-toml';
+import type { JobSpec } from '../../../../src/jobs/index.js';
+import { HttpClient } from '../../../../src/kernel/index.js';
+import { JobTruth, Luck, readDay, Region, type Day, type Script, type Submission } from '../../../region/src/index.js';
+import { MemoryFiles, readTrace, Recorder, TraceStore, type Files } from '../../../trace/src/index.js';
+import { capacityFor, outcomesOf, readNight, type Scenario } from '../night/index.js';
+import type { Played, ReplayOptions } from './engine.js';
+import { runsOf, scriptMachines } from './script.js';
+
+/** Controllers that were up long before the night begins have their shards and machines by then. */
+const LEAD_S = 30;
+/** Played on after the night's end, so that what is late can end. */
+const TAIL_S = 3600;
+const TRAIL = 400_000;
+
+const SHAPES = { array: 'sweep', gang: 'ensemble', service: 'daemon' } as const;
+const URGENCIES = ['low', 'standard', 'urgent', 'production'] as const;
+
+const submissionOf = (spec: JobSpec): Submission => ({
+  ...{ ref: spec.id, jobclass: spec.jobClass, owner: spec.team, shape: SHAPES[spec.kind] },
+  ...{ urgency: URGENCIES[spec.priority], pieces: spec.tasks, vcpus: spec.cpus, accelerators: spec.gpus },
+  ...{ ram_gb: spec.memoryGb, bundle: spec.image, pull_gb: spec.imageGb, hulls: spec.types, berth: spec.zone },
+  ...{ same_place: spec.oneZone, scatter: spec.spread, flotsam: spec.spot, expected_s: spec.estimateS },
+  ...{ mark_every_s: spec.checkpointS, mark_cost_s: spec.saveS, due_s: spec.deadlineS },
+});
+
+/** A spread that nothing is drawn from: the script says what comes. */
+const one = { median: 1, p95: 1, max: 1 };
+/** A name as days have them; what the night calls its classes may hold other characters. */
+const AIMS = new Set(['wait', 'finished', 'deadline', 'up']);
+
+/** The recorded platform as a day of the region. */
+function dayOf(scenario: Scenario, seed: number, leadS: number): Day {
+  const { facts } = scenario;
+  const classes = new Map<string, JobSpec>();
+  for (const { spec } of scenario.jobs) if (!classes.has(spec.jobClass)) classes.set(spec.jobClass, spec);
+  const kinds = facts.types.flatMap(({ name, zones }) => zones.map((zone) => ({ name, zone })));
+  const initial = new Map<string, number>();
+  for (const m of scenario.machines)
+    if (m.initial && m.upAfterS !== null) initial.set(m.kind, (initial.get(m.kind) ?? 0) + 1);
+  const day = {
+    ...{ name: 'replay', seed, duration_s: Math.min(100_000, leadS + scenario.lengthS + TAIL_S), zones: facts.zones },
+    controllers: { count: scenario.controllers, skew_ms: facts.skewMs },
+    state: { rps: facts.state.rps, write_rps: facts.state.writeRps, value_kb: facts.state.valueKb },
+    cloud: { rps: facts.cloud.rps, list_lag_s: facts.cloud.listLagMs / 1000, spot_losses_per_hour: 0 },
+    workers: {
+      ...{ report_s: facts.workers.reportMs / 1000, lease_s: facts.workers.leaseMs / 1000 },
+      ...{ gang_wait_s: facts.workers.gangWaitMs / 1000, gang_peer_s: facts.workers.gangPeerMs / 1000 },
+      cancel_s: facts.workers.cancelMs / 1000,
+    },
+    teams: Object.entries(facts.teams).map(([name, t]) => ({
+      ...{ name, cpus: t.cpus, cpus_max: t.cpusMax, gpus: t.gpus, gpus_max: t.gpusMax },
+    })),
+    machine_types: facts.types.map((t) => ({
+      ...{ name: t.name, cpus: t.cpus, gpus: t.gpus, memory_gb: t.memoryGb, price: t.price },
+      ...{ spot_price: t.spotPrice, boot_s: Math.max(0.1, t.bootS), boot_fail: 0 },
+      ...(t.cacheGb > 0 ? { cache_gb: t.cacheGb } : {}),
+      ...(t.fetchGbPerS > 0 ? { fetch_gb_per_s: t.fetchGbPerS } : {}),
+    })),
+    capacity: kinds.map(({ name, zone }) => ({
+      ...{ type: name, zone, ordinary: capacityFor(scenario, `${name} ${zone} ordinary`) },
+      spot: capacityFor(scenario, `${name} ${zone} spot`),
+    })),
+    machines: kinds.flatMap(({ name, zone }) =>
+      [false, true].flatMap((spot) => {
+        const count = initial.get(`${name} ${zone} ${spot ? 'spot' : 'ordinary'}`) ?? 0;
+        return count > 0 ? [{ type: name, zone, spot, count }] : [];
+      }),
+    ),
+    classes: [...classes].map(([name, spec]) => ({
+      ...{ name, shape: spec.kind, team: spec.team, priority: URGENCIES[spec.priority], tasks: one, run_s: one },
+      ...{ cpus: Math.max(0.001, spec.cpus), gpus: spec.gpus, memory_gb: Math.max(0.001, spec.memoryGb), initial: 1 },
+      deadline_factor: 1,
+      aims: facts.objectives
+        .filter(
+          (o) =>
+            o.jobClass === name &&
+            AIMS.has(o.kind) &&
+            (o.kind === 'up') === (spec.kind === 'service' && o.kind !== 'wait'),
+        )
+        .map(({ kind, withinS, share }) => ({
+          ...(kind === 'deadline' ? { kind } : { kind, within_s: Math.max(0.1, withinS ?? 1) }),
+          share: share ?? 1,
+        })),
+    })),
+  };
+  return readDay(stringify(day), 'the recorded platform');
+}
+
+/** Records a region while it is played: by the same trails, and the same reading, as a real night. */
+export async function recordRegion(
+  region: Region,
+  files: Files,
+  play: () => Promise<void>,
+  pollMs = 500,
+): Promise<void> {
+  const { store, ids } = await TraceStore.open(files, region.wallAt0);
+  const runtime = region.bystander('recorder');
+  const sources = region.controllers.map(({ seat }) => ({ node: seat.name, at: seat.serveOn }));
+  const options = { pollMs, segmentRows: 50_000, segmentMs: 60_000, keep: { ageMs: null, bytes: null } };
+  const recorder = new Recorder(store, ids, sources, options, runtime, pino({ level: 'silent' }));
+  recorder.start();
+  await play();
+  let closed = false;
+  const closing = recorder.close().then(() => (closed = true));
+  while (!closed) await region.play(region.now / 1000 + 1);
+  await closing;
+}
+
+const SETTLED_MS = 500;
+
+/** Operators' own settings of the recorded night, through the administration API as they were set there. */
+async function tune(region: Region, tunables: Readonly<Record<string, number>>): Promise<void> {
+  const runtime = region.bystander('operator');
+  const [first] = region.controllers;
+  if (!first) return;
+  const client = new HttpClient(first.seat.serveOn, 1, runtime);
+  for (;;) {
+    const call = { method: 'PATCH', path: '/admin/v1/settings/tunables', body: tunables, timeoutMs: 2000 } as const;
+    const answer = await client.call(call);
+    if (answer.kind === 'answered' && answer.status === 200) break;
+    await runtime.sleep(SETTLED_MS);
+  }
+  client.close();
+}
+
+/** Whole controllers on the region's models, arrivals, run times and misfortunes as the scenario has them. */
+export async function playWhole(scenario: Scenario, seed: number, options: ReplayOptions = {}): Promise<Played> {
+  const leadS = scenario.cold ? 0 : LEAD_S;
+  const luck = new Luck(seed, 'replay');
+  const script: Script = {
+    machine: scriptMachines(scenario, leadS, luck.fork('boots')).of,
+    crashes: scenario.crashes.map((crash) => ({ ...crash, atS: crash.atS + leadS })),
+    jobs: scenario.jobs.map((job) => ({
+      atS: Math.max(0, job.atS + leadS),
+      job: new JobTruth(submissionOf(job.spec), runsOf(job, scenario, luck), job.mistaken),
+      cancelAtS: job.cancelAtS === null ? null : job.cancelAtS + leadS,
+    })),
+  };
+  const day = dayOf(scenario, seed, leadS);
+  const { tunables } = scenario.facts.settings;
+  const region = new Region({ day, script, trailEvents: TRAIL });
+  const files = new MemoryFiles();
+  const endS = leadS + scenario.lengthS;
+  await recordRegion(region, files, async () => {
+    if (tunables && Object.keys(tunables).length > 0) void tune(region, tunables);
+    for (let untilS = Math.min(endS, day.duration_s); ; untilS = Math.min(untilS + 10, day.duration_s)) {
+      await region.play(untilS, {
+        ...(options.stop ? { stop: options.stop } : {}),
+        moved: (nowMs) => {
+          options.moved?.(Math.max(0, nowMs / 1000 - leadS));
+          return undefined;
+        },
+      });
+      if (options.stop?.() === true || untilS >= day.duration_s || region.parts.daybook.batchLeft === 0) return;
+    }
+  });
+  const result = region.close();
+  const night = readNight({ ...(await readTrace(files)), fromMs: region.wallAt0 + leadS * 1000 });
+  const timeline = result.timeline.map((moment) => ({ ...moment, atS: moment.atS - leadS }));
+  return { outcomes: outcomesOf(night), money: result.money.spent, timeline };
+}
--- a/src/holder/departures.ts
+++ b/src/holder/departures.ts
@@ -1,8 +1,16 @@
 import type { HeldShard } from './held.js';
+import type { JobSpec } from '../jobs/index.js';
 import { jobId, type Millis } from '../kernel/index.js';
 import { chooseRestarts, flagTasks, resourceR, type Flag } from '../speculation/index.js';
 import { JobRun, type ActiveTask } from './run.js';
 
+/** Work that can save runs until just before the end; work that cannot only if it finishes in time. */
+export function mustLeave(spec: JobSpec, running: boolean, expectedLeftS: number, leftS: number): boolean {
+  if (spec.kind === 'service' || !running) return true;
+  if (spec.checkpointS > 0) return leftS < spec.saveS + 3;
+  return expectedLeftS > leftS;
+}
+
 /** Who has to leave a machine: stragglers by the adaptive threshold, and all on a machine that is drained or taken back. */
 export class Departures {
   constructor(private readonly held: HeldShard) {}
@@ -21,11 +29,9 @@
     }
   }
 
-  /** Work that can save runs until just before the end; work that cannot only if it finishes in time. */
   private mustLeave(run: JobRun, active: ActiveTask, leftS: number, now: Millis): boolean {
-    if (run.spec.kind === 'service' || active.state !== 'running') return true;
-    if (run.spec.checkpointS > 0) return leftS < run.spec.saveS + 3;
-    return run.expectedRunS - (now - (active.runningAt ?? now)) / 1000 > leftS;
+    const expectedLeftS = run.expectedRunS - (now - (active.runningAt ?? now)) / 1000;
+    return mustLeave(run.spec, active.state === 'running', expectedLeftS, leftS);
   }
 
   speculate(now: Millis): void {
--- a/src/holder/index.ts
+++ b/src/holder/index.ts
@@ -2,3 +2,4 @@
 export * from './holder.js';
 export { HeldMachine } from './machine.js';
 export { JobRun } from './run.js';
+export { mustLeave } from './departures.js';
--- a/src/holder/starts.ts
+++ b/src/holder/starts.ts
@@ -14,10 +14,12 @@
 import {
   planPlacement,
   relevance,
+  slackOf,
   type MachineView,
   type PendingJob,
   type Plan,
   type Reserve,
+  type Slack,
   type TeamUse,
 } from '../placement/index.js';
 import type { Order } from '../workers/index.js';
@@ -30,11 +32,6 @@
 });
 const MAX_READY = 100;
 const LOOK_ELSEWHERE_EVERY_MS = 1500;
-/** An array is through with its slowest task: how much longer that runs than the median. */
-const LAST_TASK = 1.3;
-/** Within what time jobs of classes without an aim are to be through, or started. */
-const AIMLESS_ARRAY_S = 900;
-const AIMLESS_S = 120;
 const LOOK_ELSEWHERE_AT_ONCE = 2;
 /** Each move is a write: a swarm of small jobs must not spend what accepting and finishing them needs. */
 const MOVES_EVERY_MS = 150;
@@ -112,26 +109,10 @@
     return view;
   }
 
-  /** Seconds until the job misses its next and its last aim, by its deadline or its class's aims. */
-  private slackOf(run: JobRun): { slackS: number; lastSlackS: number; aimed: boolean } {
-    const { spec } = run;
-    const sinceS = (this.held.deps.runtime.wall() - run.submittedAt) / 1000;
-    const runS = run.expectedRunS * (spec.kind === 'array' && spec.tasks > 1 ? LAST_TASK : 1);
-    const times: number[] = [];
-    if (spec.deadlineS !== null) times.push(spec.deadlineS - runS);
-    else {
-      for (const o of this.held.deps.settings.objectives) {
-        if (o.jobClass !== spec.jobClass || o.withinS === null) continue;
-        if (o.kind === 'wait') times.push(o.withinS);
-        if (o.kind === 'finished') times.push(o.withinS - runS);
-      }
-    }
-    const aimed = times.length > 0;
-    // Arrays that nobody has named a time for fill what is idle; everything else starts soon.
-    if (!aimed) times.push(spec.kind === 'array' ? AIMLESS_ARRAY_S : AIMLESS_S);
-    const ahead = times.map((t) => t - sinceS).filter((t) => t >= 0);
-    const lastSlackS = Math.max(...times) - sinceS;
-    return { slackS: ahead.length > 0 ? Math.min(...ahead) : lastSlackS, lastSlackS, aimed };
+  private slackOf(run: JobRun): Slack {
+    const { runtime, settings } = this.held.deps;
+    const sinceS = (runtime.wall() - run.submittedAt) / 1000;
+    return slackOf(run.spec, sinceS, run.expectedRunS, settings.objectives);
   }
 
   private workOf(run: JobRun): number {
--- a/src/leasing/leader.ts
+++ b/src/leasing/leader.ts
@@ -23,7 +23,7 @@
 import type { Trail } from '../trail/index.js';
 import { jobKey, JOBS, LEADER, shardKey, Urgency, type Mirror, type StateClient } from '../state/index.js';
 import type { WorkerMessage } from '../workers/index.js';
-import { inCalls, kindKey, planLeases, type LooseMachine, type RentWish } from './plan.js';
+import { inCalls, kindKey, LEASE_POLICY, planLeases, type LooseMachine, type RentWish } from './plan.js';
 
 export interface LeaderDeps {
   readonly self: NodeName;
@@ -61,9 +61,6 @@
 
 const LIST_EVERY_MS = 2500;
 const REFUSED_MS = 15_000;
-const IDLE_RETURN_S = 20;
-/** What is left for boots, fetches and stragglers. */
-const PATIENCE = 0.55;
 const TRANSFER_PAUSE_MS = 3000;
 
 /** The leader's duties: machine blocks, fleet size, price. Losing the leader costs only these. */
@@ -156,8 +153,7 @@
       specOf: this.specOf,
       refused: new Set(this.refused.keys()),
       headroom: this.headroom(),
-      idleReturnS: IDLE_RETURN_S,
-      patience: PATIENCE,
+      ...LEASE_POLICY,
       ageOf: (id) => {
         const known = this.known.get(id);
         return known ? (now - known.rentedAt) / 1000 : 0;
--- a/src/leasing/plan.ts
+++ b/src/leasing/plan.ts
@@ -15,6 +15,13 @@
 /** Whether services still find room is worked out anew for each: bounded, as a fleet is large. */
 const RELEASE_LOOKS = 20;
 
+/** How long a machine stands idle before it goes back, and what share of the time left arrays may take. */
+export const LEASE_POLICY = {
+  idleReturnS: 20,
+  // The rest is left for boots, fetches and stragglers.
+  patience: 0.55,
+} as const;
+
 /** A machine that is rented but in no block yet. */
 export interface LooseMachine {
   readonly id: MachineId;
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -12,3 +12,4 @@
   Unplaced,
 } from './model.js';
 export { planPlacement } from './plan.js';
+export { slackOf, type ClassAim, type Slack } from './slack.js';
--- /dev/null
+++ b/src/placement/slack.ts
@@ -0,0 +1,42 @@
+import type { JobSpec } from '../jobs/index.js';
+
+/** An array is through with its slowest task: how much longer that runs than the median. */
+const LAST_TASK = 1.3;
+/** Within what time jobs of classes without an aim are to be through, or started. */
+const AIMLESS_ARRAY_S = 900;
+const AIMLESS_S = 120;
+
+export interface ClassAim {
+  readonly kind: string;
+  readonly jobClass: string | null;
+  readonly withinS: number | null;
+}
+
+export interface Slack {
+  /** Seconds until it misses its next aim. */
+  readonly slackS: number;
+  /** Until it misses the last of them; below zero it can't be in time any more. */
+  readonly lastSlackS: number;
+  /** Somebody has named a time for it. */
+  readonly aimed: boolean;
+}
+
+/** Seconds until the job misses its next and its last aim, by its deadline or its class's aims. */
+export function slackOf(spec: JobSpec, sinceS: number, expectedRunS: number, aims: readonly ClassAim[]): Slack {
+  const runS = expectedRunS * (spec.kind === 'array' && spec.tasks > 1 ? LAST_TASK : 1);
+  const times: number[] = [];
+  if (spec.deadlineS !== null) times.push(spec.deadlineS - runS);
+  else {
+    for (const aim of aims) {
+      if (aim.jobClass !== spec.jobClass || aim.withinS === null) continue;
+      if (aim.kind === 'wait') times.push(aim.withinS);
+      if (aim.kind === 'finished') times.push(aim.withinS - runS);
+    }
+  }
+  const aimed = times.length > 0;
+  // Arrays that nobody has named a time for fill what is idle; everything else starts soon.
+  if (!aimed) times.push(spec.kind === 'array' ? AIMLESS_ARRAY_S : AIMLESS_S);
+  const ahead = times.map((t) => t - sinceS).filter((t) => t >= 0);
+  const lastSlackS = Math.max(...times) - sinceS;
+  return { slackS: ahead.length > 0 ? Math.min(...ahead) : lastSlackS, lastSlackS, aimed };
+}
