--- a/packages/region/src/daybook.ts
+++ b/packages/region/src/daybook.ts
@@ -192,6 +192,16 @@
     return counted === 0 ? null : met / counted;
   }
 
+  /** Jobs that can end by themselves and have not. */
+  get batchLeft(): number {
+    let left = 0;
+    for (const { view } of this.jobs.values()) {
+      const { job, refused, toldDone, toldCancelled } = view;
+      if (job.spec.shape !== 'daemon' && !job.mistaken && !refused && !toldDone && !toldCancelled) left += 1;
+    }
+    return left;
+  }
+
   /** Jobs that were accepted and are neither done nor cancelled. */
   get open(): string[] {
     const open = [...this.jobs.values()].filter(
--- a/packages/region/src/index.ts
+++ b/packages/region/src/index.ts
@@ -1,11 +1,13 @@
 export * from './checker/index.js';
 export * from './day/index.js';
+export { fleetDay } from './measure/index.js';
 export * from './models/index.js';
 export * from './controller.js';
 export * from './parts.js';
 export * from './real.js';
 export * from './region.js';
 export * from './settings.js';
+export { svg } from './report/index.js';
 export * from './sim/index.js';
 export * from './testkit.js';
 export type { AimResult, ClassResult, Quantiles } from './daybook.js';
--- a/packages/region/src/models/cloud.ts
+++ b/packages/region/src/models/cloud.ts
@@ -9,6 +9,7 @@
   type Runtime,
 } from '../../../../src/kernel/index.js';
 import type { Luck } from '../sim/index.js';
+import type { Script, ScriptedMachine } from './script.js';
 import { Allowance, serveJson, type Answer, type Request } from './serve.js';
 
 export interface TypeFacts {
@@ -40,6 +41,8 @@
   readonly types: readonly TypeFacts[];
   readonly capacity: readonly CapacityFacts[];
   readonly spot: { readonly perHour: number; readonly noticeS: number; readonly silentShare: number };
+  /** Instead of luck. */
+  readonly script?: Script['machine'];
 }
 
 export type MachineFate = 'starting' | 'running' | 'failed' | 'gone';
@@ -61,6 +64,7 @@
   listed: boolean;
   /** Up to when it has been charged for. */
   chargedTo: number;
+  readonly script: ScriptedMachine | null;
 }
 
 /** What the cloud does to machines: the region gives each a worker, and takes it away. */
@@ -87,6 +91,8 @@
   private readonly charters = new Map<string, readonly string[]>();
   private readonly taken = new Map<string, number>();
   private readonly limits = new Map<string, number>();
+  /** How many of each kind there have been. */
+  private readonly made = new Map<string, number>();
   private readonly spotPrices = new Map<string, number>();
   private readonly allowance: Allowance;
   private nextName = 1;
@@ -134,7 +140,8 @@
     for (let i = 0; i < count; i++) {
       const machine = this.make(type, zone, spot);
       machine.listed = true;
-      this.comeUp(machine);
+      if (machine.script) this.boot(machine);
+      else this.comeUp(machine);
     }
   }
 
@@ -146,7 +153,11 @@
       this.end(machine);
       return;
     }
-    const noticeMs = this.facts.spot.noticeS * 1000 * this.luck.between(0.5, 1.5);
+    this.takeBackIn(machine, this.facts.spot.noticeS * 1000 * this.luck.between(0.5, 1.5));
+  }
+
+  private takeBackIn(machine: Machine, noticeMs: number): void {
+    if (machine.fate !== 'running') return;
     machine.takenAt = this.runtime.now() + noticeMs;
     this.runtime.after(noticeMs, () => this.end(machine));
   }
@@ -227,6 +238,9 @@
 
   private make(type: TypeFacts, zone: string, spot: boolean): Machine {
     const now = this.runtime.now();
+    const kind = kindOf(type.name, zone, spot);
+    const nth = this.made.get(kind) ?? 0;
+    this.made.set(kind, nth + 1);
     const machine: Machine = {
       id: `host-${String(this.nextName++).padStart(6, '0')}`,
       type,
@@ -241,14 +255,20 @@
       takenAt: null,
       listed: false,
       chargedTo: now,
+      script: this.facts.script?.(kind, nth) ?? null,
     };
     this.machines.set(machine.id, machine);
-    const kind = kindOf(type.name, zone, spot);
     this.taken.set(kind, (this.taken.get(kind) ?? 0) + 1);
     return machine;
   }
 
   private boot(machine: Machine): void {
+    if (machine.script) {
+      const { bootS } = machine.script;
+      if (bootS === null) this.counts.neverUp += 1;
+      else this.runtime.after(bootS * 1000, () => this.comeUp(machine));
+      return;
+    }
     if (this.luck.chance(Math.max(machine.type.bootFail, this.neverShare))) {
       this.counts.neverUp += 1;
       return;
@@ -263,14 +283,24 @@
     if (machine.fate !== 'starting') return;
     machine.fate = 'running';
     machine.runningAt = this.runtime.now();
+    if (machine.script) this.follow(machine, machine.script);
     const { perHour, silentShare } = this.facts.spot;
-    if (machine.spot && perHour > 0) {
+    if (machine.spot && perHour > 0 && !machine.script) {
       const noticed = !this.luck.chance(silentShare);
       this.runtime.after(this.luck.exponential(3600 / perHour) * 1000, () => this.takeBack(machine, noticed));
     }
     this.hooks.up(machine);
   }
 
+  private follow(machine: Machine, { diesAtS, takenBack }: ScriptedMachine): void {
+    const after = (atS: number, work: () => void): void => {
+      const ms = atS * 1000 - this.runtime.now();
+      if (ms >= 0) this.runtime.after(ms, work);
+    };
+    if (diesAtS !== null) after(diesAtS, () => this.die(machine));
+    if (takenBack) after(takenBack.noticeAtS, () => this.takeBackIn(machine, takenBack.noticeS * 1000));
+  }
+
   private giveBack(body: unknown): Answer {
     const names = asList(isObject(body) ? body['drifters'] : undefined);
     if (names.length > MOST_RETURNED) return { status: 400, body: { error: 'too many names' } };
--- a/packages/region/src/models/index.ts
+++ b/packages/region/src/models/index.ts
@@ -3,6 +3,7 @@
 export * from './gangs.js';
 export * from './images.js';
 export * from './jobs.js';
+export * from './script.js';
 export * from './serve.js';
 export * from './state.js';
 export * from './tasks.js';
--- a/packages/region/src/models/users.ts
+++ b/packages/region/src/models/users.ts
@@ -3,6 +3,7 @@
 import { Luck } from '../sim/index.js';
 import type { Balancer, UserSession } from './balancer.js';
 import { JobTruth, type JobBook, type Submission } from './jobs.js';
+import type { ScriptedJob } from './script.js';
 
 /** What users saw of one job. Times in milliseconds of true time. */
 export interface UserView {
@@ -36,6 +37,8 @@
   readonly jobs: JobBook;
   readonly checker: UserWitness;
   readonly arrived: (view: UserView) => void;
+  /** Instead of drawn jobs and strangers. */
+  readonly script?: readonly ScriptedJob[];
 }
 
 const SHAPES = { array: 'sweep', gang: 'ensemble', service: 'daemon' } as const;
@@ -69,7 +72,11 @@
   }
 
   start(): void {
-    const { runtime, day, luck } = this.deps;
+    const { runtime, day, luck, script } = this.deps;
+    if (script) {
+      for (const planned of script) runtime.after(planned.atS * 1000, () => void this.livePlanned(planned));
+      return;
+    }
     for (const jobClass of day.classes) {
       for (let i = 0; i < jobClass.initial; i++)
         runtime.after(luck.between(0, FIRST_JOBS_WITHIN_MS), () => void this.live(jobClass));
@@ -147,18 +154,10 @@
 
   /** One job, from its submission until its user no longer asks. */
   private async live(c: DayClass): Promise<void> {
-    const { runtime, luck, checker, jobs, balancer, now } = this.deps;
+    const { runtime, luck } = this.deps;
     const job = this.draw(c);
-    const { ref } = job.spec;
-    const own = luck.fork(`${ref} user`);
-    jobs.add(job);
-    checker.submits(job);
-    const view: UserView = {
-      ...{ job, submittedAt: now(), acceptedAt: null, refused: false },
-      ...{ cancelAskedAt: null, toldDone: false, toldCancelled: false },
-    };
-    this.deps.arrived(view);
-    const session = balancer.session();
+    const own = luck.fork(`${job.spec.ref} user`);
+    const { view, session } = this.upload(job);
     try {
       if (!(await this.submit(session, view))) return;
       if (own.chance(REPEATS)) runtime.after(own.between(500, 20_000), () => void this.submitOnce(session, view));
@@ -175,6 +174,32 @@
     }
   }
 
+  /** One job of a script: nothing is repeated, and it is taken back when the script says so. */
+  private async livePlanned({ job, cancelAtS }: ScriptedJob): Promise<void> {
+    const { runtime, luck, now } = this.deps;
+    const { view, session } = this.upload(job);
+    try {
+      if (!(await this.submit(session, view))) return;
+      if (cancelAtS !== null)
+        runtime.after(Math.max(0, cancelAtS * 1000 - now()), () => void this.cancel(session, view));
+      await this.follow(session, view, luck.fork(`${job.spec.ref} user`));
+    } finally {
+      session.close();
+    }
+  }
+
+  private upload(job: JobTruth): { readonly view: UserView; readonly session: UserSession } {
+    const { checker, jobs, balancer, now } = this.deps;
+    jobs.add(job);
+    checker.submits(job);
+    const view: UserView = {
+      ...{ job, submittedAt: now(), acceptedAt: null, refused: false },
+      ...{ cancelAskedAt: null, toldDone: false, toldCancelled: false },
+    };
+    this.deps.arrived(view);
+    return { view, session: balancer.session() };
+  }
+
   /** Tries until it is accepted, refused for good, or a minute has gone. */
   private async submit(session: UserSession, view: UserView): Promise<boolean> {
     for (;;) {
--- a/packages/region/src/parts.ts
+++ b/packages/region/src/parts.ts
@@ -3,7 +3,7 @@
 import type { Day } from './day/index.js';
 import { Daybook } from './daybook.js';
 import { Balancer, CloudModel, GangBook, JobBook, StateModel, UserModel, WorkerModel } from './models/index.js';
-import type { Cause, JobTruth, Machine, TaskWatch, WorkerFacts } from './models/index.js';
+import type { Cause, JobTruth, Machine, Script, TaskWatch, WorkerFacts } from './models/index.js';
 import type { Luck } from './sim/index.js';
 
 /** Where a model runs: a simulated host, or this machine's loopback. */
@@ -43,6 +43,8 @@
   /** Told of everything that happens, in words. */
   readonly note: (what: string) => void;
   readonly broken?: (breach: Breach) => void;
+  /** Who comes and what happens to machines, instead of what the day would draw. */
+  readonly script?: Script;
   /** Finds the description of a job that somebody else has submitted. */
   readonly uploaded?: (ref: string, state: StateModel) => JobTruth | undefined;
 }
@@ -111,6 +113,7 @@
           ...{ bootS: t.boot_s, bootFail: t.boot_fail },
         })),
         capacity: day.capacity,
+        ...(options.script ? { script: options.script.machine } : {}),
       },
       { up: (machine) => this.up(machine), gone: (machine) => this.gone(machine) },
     );
@@ -129,6 +132,7 @@
         options.note(`arrives ${ref} ${jobclass} ${pieces}`);
         this.daybook.arrived(view);
       },
+      ...(options.script ? { script: options.script.jobs } : {}),
     });
   }
 
@@ -166,6 +170,12 @@
         machine.takenAt === null ? null : Math.max(0, machine.takenAt - this.cloudSeat.runtime.now()) / 1000,
     });
     this.workers.set(machine.id, { model, seat });
+    if (machine.script) {
+      model.tasks.slowness = machine.script.slowness;
+      const { failsFromS } = machine.script;
+      if (failsFromS !== null)
+        seat.watchdog.after(Math.max(0, failsFromS * 1000 - place.now()), () => (model.tasks.failsTasks = true));
+    }
     note(`up ${machine.id} ${machine.type.name} ${machine.zone}${machine.spot ? ' spot' : ''}`);
     const { ready } = model.listen(seat.at);
     void ready.then((port) => model.start(`${seat.at.host}:${port}`));
--- a/packages/region/src/region.ts
+++ b/packages/region/src/region.ts
@@ -9,8 +9,9 @@
 import type { Day } from './day/index.js';
 import type { ClassResult, Moment } from './daybook.js';
 import { RegionParts, type ControllerSeat, type Place, type Seat } from './parts.js';
+import type { Script } from './models/index.js';
 import { settingsFor } from './settings.js';
-import { Luck, Network, rest, SimProcess, World } from './sim/index.js';
+import { DAY_BEGINS, Luck, Network, rest, SimProcess, World } from './sim/index.js';
 import { playTrouble, type Troubled } from './troubles.js';
 
 const STATE = { host: '10.2.0.1', port: 2379 };
@@ -29,6 +30,8 @@
   /** Each line of the event log. */
   readonly event?: (line: string) => void;
   readonly broken?: (breach: Breach) => void;
+  /** Who comes and what happens to machines and controllers, instead of what the day would draw. */
+  readonly script?: Script;
   /** Controllers keep so many of their last events for those who record them. */
   readonly trailEvents?: number;
   /** For tests: what the controllers are told, instead of what is true. */
@@ -83,6 +86,7 @@
   private events = 0;
   private bytes = 0;
   private nextWorker = 0;
+  private bystanders = 0;
   private readonly timeline: RegionMoment[] = [];
 
   constructor(private readonly options: RegionOptions) {
@@ -113,6 +117,7 @@
       ...{ day, luck: this.luck, place, log: this.log, controllers: seats },
       note: (what) => this.note(what),
       ...(options.broken ? { broken: options.broken } : {}),
+      ...(options.script ? { script: options.script } : {}),
     });
     this.controllers = seats.map((seat) => {
       const host = this.network.host(seat.serveOn.host, seat.zone);
@@ -156,6 +161,15 @@
     };
   }
 
+  /** The time of day at which a day begins, in milliseconds. */
+  readonly wallAt0 = DAY_BEGINS;
+
+  /** A process beside the region, such as an operator's tool, on a machine of its own. */
+  bystander(name: string): SimProcess {
+    const host = this.network.host(`10.4.0.${++this.bystanders}`, null);
+    return new SimProcess(name, host, this.world, this.network, this.luck.fork(name));
+  }
+
   /** The process of a machine's worker. */
   processOf(machine: string): SimProcess | undefined {
     return this.processes.get(machine);
@@ -215,6 +229,10 @@
     for (const controller of this.controllers) controller.start();
     this.parts.open();
     this.look();
+    for (const { controller, atS, downS } of this.options.script?.crashes ?? []) {
+      const crashed = this.controllers[controller];
+      if (crashed) this.world.plan(atS * 1000, () => this.crash(crashed, downS));
+    }
     for (const trouble of this.day.troubles) this.world.plan(trouble.at_s * 1000, () => playTrouble(trouble, this));
   }
 
--- a/packages/region/src/report/charts.ts
+++ b/packages/region/src/report/charts.ts
@@ -1,5 +1,4 @@
-import { parse, View } from 'vega';
-import { compile, type TopLevelSpec } from 'vega-lite';
+import { svg } from './svg.js';
 import type { Field } from 'vega-lite/build/src/channeldef.js';
 import type { UnitSpec } from 'vega-lite/build/src/spec/unit.js';
 import type { Trouble } from '../day/index.js';
@@ -7,16 +6,6 @@
 
 const WIDTH = 860;
 
-/** Drawn without a browser: the page holds the picture itself. */
-async function svg(spec: TopLevelSpec): Promise<string> {
-  const view = new View(parse(compile(spec).spec), { renderer: 'none' });
-  try {
-    return await view.toSVG();
-  } finally {
-    view.finalize();
-  }
-}
-
 const base = { $schema: 'https://vega.github.io/schema/vega-lite/v5.json', width: WIDTH } as const;
 const seconds = { field: 'atS', type: 'quantitative', title: 'seconds since the day began' } as const;
 
--- a/packages/region/src/report/index.ts
+++ b/packages/region/src/report/index.ts
@@ -1,2 +1,3 @@
+export { svg } from './svg.js';
 export * from './page.js';
 export * from './table.js';
--- a/packages/region/src/sim/process.ts
+++ b/packages/region/src/sim/process.ts
@@ -17,7 +17,7 @@
 import type { World } from './world.js';
 
 /** Time of day at the start of every simulated day. */
-const DAY_BEGINS = Date.UTC(2026, 0, 5, 18, 0, 0);
+export const DAY_BEGINS = Date.UTC(2026, 0, 5, 18, 0, 0);
 
 export interface ClockFaults {
   /** How much faster the steady clock runs than true time: 0.0005 at most by the protocol. */
