--- a/packages/trace/src/index.ts
+++ b/packages/trace/src/index.ts
@@ -1,4 +1,4 @@
-export { mergeRows, readTrace, verifyTrace, type Trace } from './read.js';
+export { mergeRows, readTrace, readTraceIn, verifyTrace, type Trace } from './read.js';
 export {
   Recorder,
   advance,
@@ -11,8 +11,11 @@
 } from './record/index.js';
 export {
   detailOf,
+  digest,
   diskFiles,
   encodeManifest,
+  Killed,
+  MemoryFiles,
   readEvent,
   TraceError,
   TraceStore,
--- a/packages/trace/src/read.ts
+++ b/packages/trace/src/read.ts
@@ -1,6 +1,7 @@
 import { unread } from './record/index.js';
 import {
   better,
+  diskFiles,
   readManifest,
   readSegment,
   TraceError,
@@ -40,6 +41,15 @@
   return { rows: merged, repeated };
 }
 
+/** Reads the trace in a directory; a TraceError names the directory too. */
+export async function readTraceIn(dir: string): Promise<Trace> {
+  try {
+    return await readTrace(diskFiles(dir));
+  } catch (error) {
+    throw error instanceof TraceError ? new TraceError(`${dir}: ${error.message}`) : error;
+  }
+}
+
 /** Reads a whole trace; a TraceError names the file and what is wrong with it. */
 export async function readTrace(files: Files): Promise<Trace> {
   const manifest = await readManifest(files);
--- a/packages/trace/src/record/follow.ts
+++ b/packages/trace/src/record/follow.ts
@@ -10,7 +10,7 @@
 });
 
 /** What one controller answered to the question for its trail. */
-export type Page = v.InferOutput<typeof page>;
+export type Page = Omit<v.InferOutput<typeof page>, 'events'> & { readonly events: readonly unknown[] };
 
 export function readPage(body: unknown): Page | null {
   const result = v.safeParse(page, body);
--- a/packages/trace/src/record/recorder.ts
+++ b/packages/trace/src/record/recorder.ts
@@ -22,6 +22,7 @@
 const FIRST_PAUSE_MS = 500;
 const LONGEST_PAUSE_MS = 10_000;
 const FACTS_EVERY_MS = 60_000;
+const KEEP_EVERY_MS = 500;
 /** Segments that could not be written hold their rows here; beyond this nothing more is read. */
 const MOST_OPEN_ROWS = 200_000;
 
@@ -40,7 +41,7 @@
  * kept only if the controllers have forgotten it meanwhile; then that is a gap.
  */
 export class Recorder {
-  private readonly followers: readonly Follower[];
+  private readonly followers: Follower[] = [];
   private readonly loops: ReconcileLoop[] = [];
   private open: TraceRow[] = [];
   private openSince: number;
@@ -63,32 +64,49 @@
     this.gaps = [...manifest.gaps];
     this.facts = manifest.facts;
     this.openSince = runtime.now();
-    this.followers = sources.map(({ node, at }) => ({
-      ...{ node, at, client: new HttpClient(at, 1, runtime), failures: 0, notBefore: 0, silent: null },
-      cursor: manifest.cursors.find((cursor) => cursor.node === node) ?? begin(node),
-    }));
+    for (const source of sources) this.add(source);
   }
 
   start(): void {
+    for (const follower of this.followers) this.loop(follower);
+    const everyMs = Math.min(KEEP_EVERY_MS, this.options.segmentMs / 2);
+    const segments = new ReconcileLoop('segments', everyMs, this.runtime, this.log, () => this.keep());
+    this.loops.push(segments);
+    segments.start();
+  }
+
+  /** One controller more, while others are read already; asked twice, it is followed once. */
+  follow(source: Source): void {
+    if (!this.followers.some(({ node }) => node === source.node)) this.loop(this.add(source));
+  }
+
+  private add({ node, at }: Source): Follower {
+    const follower: Follower = {
+      ...{ node, at, client: new HttpClient(at, 1, this.runtime), failures: 0, notBefore: 0, silent: null },
+      cursor: this.store.manifest.cursors.find((cursor) => cursor.node === node) ?? begin(node),
+    };
+    this.followers.push(follower);
+    return follower;
+  }
+
+  private loop(follower: Follower): void {
     const { runtime, log, options } = this;
-    for (const follower of this.followers) {
-      const work = (): Promise<void> => this.follow(follower);
-      this.loops.push(new ReconcileLoop(`follow ${follower.node}`, options.pollMs, runtime, log, work));
-    }
-    this.loops.push(new ReconcileLoop('segments', 500, runtime, log, () => this.keep()));
-    for (const loop of this.loops) loop.start();
+    const work = (): Promise<void> => this.read(follower);
+    const loop = new ReconcileLoop(`follow ${follower.node}`, options.pollMs, runtime, log, work);
+    this.loops.push(loop);
+    loop.start();
   }
 
   /** Reads once more, keeps everything, and ends. */
   async close(): Promise<void> {
     for (const loop of this.loops) loop.stop();
     while (this.sealing) await this.runtime.sleep(10);
-    await Promise.all(this.followers.map((follower) => this.follow(follower)));
+    await Promise.all(this.followers.map((follower) => this.read(follower)));
     await this.seal();
     for (const { client } of this.followers) client.close();
   }
 
-  private async follow(follower: Follower): Promise<void> {
+  private async read(follower: Follower): Promise<void> {
     if (this.runtime.now() < follower.notBefore || this.open.length >= MOST_OPEN_ROWS) return;
     for (let pages = 0; pages < PAGES_AT_ONCE; pages++) {
       const askedAt = this.runtime.wall();
--- a/packages/trace/src/store/store.ts
+++ b/packages/trace/src/store/store.ts
@@ -86,7 +86,10 @@
       ...{ format: 'wooddrift-trace-1' as const, startedMs: nowMs, recordedToMs: nowMs, facts: null },
       ...{ cursors: [], gaps: [], segments: [] },
     };
-    return { store: new TraceStore(files, manifest ?? fresh, last + 1), ids };
+    const store = new TraceStore(files, manifest ?? fresh, last + 1);
+    // Before the first segment: killed between the two, the trace would be one whose manifest was lost.
+    if (!manifest) await store.claim(fresh);
+    return { store, ids };
   }
 
   get manifest(): Manifest {
