--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -6,7 +6,9 @@
   js.configs.recommended,
   ...tseslint.configs.strict,
   {
-    languageOptions: { globals: { process: 'readonly', console: 'readonly', performance: 'readonly', setTimeout: 'readonly' } },
+    languageOptions: {
+      globals: { process: 'readonly', console: 'readonly', performance: 'readonly', setTimeout: 'readonly' },
+    },
     rules: {
       'no-restricted-imports': [
         'error',
@@ -14,7 +16,8 @@
           patterns: [
             {
               // A slice is imported through its index.ts only.
-              regex: '^(?:\\.\\./)+(?:src/[a-z]+|(?!src/|packages/)[a-z]+|packages/[a-z-]+/src/[a-z]+)/(?!index\\.js$)',
+              regex:
+                '^(?:\\.\\./)+(?:src/[a-z]+|(?!src/|packages/|[a-z-]+/src/)[a-z]+|packages/[a-z-]+/src/[a-z]+|[a-z-]+/src(?!/cli/index\\.js$))/(?!index\\.js$)',
               message: 'import a slice through its index.js',
             },
           ],
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -26,7 +26,7 @@
 
 await Promise.all([
   bundle('src/cli/main.ts', 'target/main.cjs', { WOODDRIFT_VERSION: JSON.stringify(version) }),
-  bundle('packages/region/src/cli/main.ts', 'target/tools.cjs', {
+  bundle('packages/tools/src/cli/main.ts', 'target/tools.cjs', {
     SHIPPED_DAYS: JSON.stringify(Object.fromEntries(days)),
   }),
 ]);
