--- a/packages/trace/src/cli/command.ts
+++ b/packages/trace/src/cli/command.ts
@@ -11,6 +11,7 @@
 import { readTraceIn, verifyTrace } from '../read.js';
 import { Recorder, type Source } from '../record/index.js';
 import { diskFiles, TraceStore } from '../store/index.js';
+import { lockDirectory } from './lock.js';
 
 const addresses = (text: string, before: readonly Address[] = []): readonly Address[] => {
   const at = parseAddress(text);
@@ -79,6 +80,7 @@
     process.once('SIGTERM', stop);
     if (flags.forS !== undefined) setTimeout(stop, flags.forS * 1000);
   });
+  const unlock = lockDirectory(flags.out);
   const { store, ids } = await TraceStore.open(diskFiles(flags.out), systemRuntime.wall());
   const options = {
     pollMs: flags.pollS * 1000,
@@ -98,6 +100,7 @@
     });
   await end;
   await recorder.close();
+  unlock();
   const { taken, repeated, segments } = recorder.counts;
   process.stdout.write(`${flags.out}: ${taken} events in ${segments} segments, ${repeated} told twice\n`);
   const { manifest } = store;
--- a/packages/whatif/src/night/scenario.ts
+++ b/packages/whatif/src/night/scenario.ts
@@ -133,7 +133,11 @@
 
 /** Machines of a kind that a replay's cloud has. */
 export const capacityFor = ({ capacity, machines }: Scenario, kind: string): number =>
-  capacity.get(kind) ?? machines.filter((m) => m.kind === kind).length + ROOM;
+  // A shortage late in the night says nothing of its beginning, when there may have been more.
+  Math.max(
+    capacity.get(kind) ?? machines.filter((m) => m.kind === kind).length + ROOM,
+    machines.filter((m) => m.kind === kind && m.initial).length,
+  );
 
 export function scenarioOf(night: Night): Scenario {
   const runs = knownRuns(night);
--- a/packages/whatif/src/replay/whole.ts
+++ b/packages/whatif/src/replay/whole.ts
@@ -27,7 +27,7 @@
 
 /** A spread that nothing is drawn from: the script says what comes. */
 const one = { median: 1, p95: 1, max: 1 };
-/** A name as days have them; what the night calls its classes may hold other characters. */
+/** Kinds of objectives that a day's classes have as aims, too. */
 const AIMS = new Set(['wait', 'finished', 'deadline', 'up']);
 
 /** The recorded platform as a day of the region. */
--- a/scripts/measure-recorder-kill.mjs
+++ b/scripts/measure-recorder-kill.mjs
@@ -44,6 +44,8 @@
 for (let i = 0; i < times; i++) {
   const child = run(args);
   const gone = ended(child);
+  // Before there is a manifest there is nothing to check.
+  while (i === 0 && !readdirSync(dir).includes('manifest.json')) await sleep(20);
   // Starting takes a third of a second; then segments are written every few hundredths.
   await sleep(500 + random() * 900);
   child.kill('SIGKILL');
@@ -52,7 +54,11 @@
   // Every twentieth time, and at the end, all that is claimed is read.
   if (i % 20 !== 19 && i !== times - 1) continue;
   const check = run(['trace', 'verify', dir]);
-  if ((await ended(check)) !== 0) bad += 1;
+  const said = [];
+  check.stdout.on('data', (chunk) => said.push(String(chunk)));
+  if ((await ended(check)) === 0) continue;
+  bad += 1;
+  process.stderr.write(said.join(''));
 }
 const last = run(args, ['--for-s', '6']);
 await ended(last);
