Recorder reads each controller by one call at a time, also while it ends

Need: on reading the change again, a late page of an earlier life could pass for another restart when the recorder ends. Change: one reading at a time for each controller; one description of a search's flags.

--- a/packages/trace/src/record/recorder.ts
+++ b/packages/trace/src/record/recorder.ts
@@ -29,6 +29,8 @@
 interface Follower extends Source {
   readonly client: HttpClient;
   cursor: Cursor;
+  /** One reading at a time: a late page of an earlier life would look like another restart. */
+  reading: boolean;
   failures: number;
   notBefore: number;
   /** Whether the last call failed, so that each change is told once. */
@@ -82,7 +84,8 @@
 
   private add({ node, at }: Source): Follower {
     const follower: Follower = {
-      ...{ node, at, client: new HttpClient(at, 1, this.runtime), failures: 0, notBefore: 0, silent: null },
+      ...{ node, at, client: new HttpClient(at, 1, this.runtime), reading: false, failures: 0 },
+      ...{ notBefore: 0, silent: null },
       cursor: this.store.manifest.cursors.find((cursor) => cursor.node === node) ?? begin(node),
     };
     this.followers.push(follower);
@@ -100,14 +103,23 @@
   /** Reads once more, keeps everything, and ends. */
   async close(): Promise<void> {
     for (const loop of this.loops) loop.stop();
-    while (this.sealing) await this.runtime.sleep(10);
+    while (this.sealing || this.followers.some(({ reading }) => reading)) await this.runtime.sleep(10);
     await Promise.all(this.followers.map((follower) => this.read(follower)));
     await this.seal();
     for (const { client } of this.followers) client.close();
   }
 
   private async read(follower: Follower): Promise<void> {
-    if (this.runtime.now() < follower.notBefore || this.open.length >= MOST_OPEN_ROWS) return;
+    if (follower.reading || this.runtime.now() < follower.notBefore || this.open.length >= MOST_OPEN_ROWS) return;
+    follower.reading = true;
+    try {
+      await this.readPages(follower);
+    } finally {
+      follower.reading = false;
+    }
+  }
+
+  private async readPages(follower: Follower): Promise<void> {
     for (let pages = 0; pages < PAGES_AT_ONCE; pages++) {
       const askedAt = this.runtime.wall();
       const page = await this.ask(follower);
--- a/packages/whatif/src/cli/command.ts
+++ b/packages/whatif/src/cli/command.ts
@@ -9,7 +9,7 @@
 import { outcomesOf, readNight, scenarioOf, type Night } from '../night/index.js';
 import { applyPlan, PlanError, readPlan, type Plan } from '../plan/index.js';
 import { playDecisions, playWhole, recordRegion } from '../replay/index.js';
-import { search } from './search.js';
+import { search, type SearchFlags } from './search.js';
 
 const ENGINES = { decisions: playDecisions, whole: playWhole } as const;
 type EngineName = keyof typeof ENGINES;
@@ -180,15 +180,6 @@
   .option('--columns <file>', 'write all jobs as Parquet')
   .action((dir: string, plans: string[], flags: CompareFlags) => compare(dir, plans, flags));
 
-interface SearchFlags {
-  readonly vary: string;
-  readonly steps: number;
-  readonly seeds: number;
-  readonly out: string;
-  readonly jobs: number;
-  readonly goal?: string;
-}
-
 whatifCommand
   .command('search')
   .description('try one field of a plan at several values and seeds, side by side; goes on where it was killed')
--- a/packages/whatif/src/cli/search.ts
+++ b/packages/whatif/src/cli/search.ts
@@ -10,7 +10,7 @@
 import { applyPlan, PlanError, readPlan } from '../plan/index.js';
 import { playDecisions } from '../replay/index.js';
 
-interface SearchFlags {
+export interface SearchFlags {
   readonly vary: string;
   readonly steps: number;
   readonly seeds: number;
