Replays are compared with the record by classes' shares within their aims, too

Need: the issue asks for each class within a point. Change: measure reproduce tells the largest difference of any class and aim.

--- a/packages/whatif/src/measure/measure.ts
+++ b/packages/whatif/src/measure/measure.ts
@@ -1,7 +1,7 @@
 import { Luck, type Day, Region } from '../../../region/src/index.js';
 import { MemoryFiles, readTrace } from '../../../trace/src/index.js';
-import { forecast, replayErrors, type ReplayErrors } from '../answer/index.js';
-import { outcomesOf, readNight, scenarioOf, type Night } from '../night/index.js';
+import { fared, forecast, replayErrors, type Fared, type ReplayErrors } from '../answer/index.js';
+import { outcomesOf, readNight, scenarioOf, type Night, type Outcome, type Scenario } from '../night/index.js';
 import { applyPlan, readPlan } from '../plan/index.js';
 import { playDecisions, playWhole, recordRegion } from '../replay/index.js';
 
@@ -21,6 +21,21 @@
   readonly followed: ReplayErrors;
   readonly decisions: ReplayErrors;
   readonly whole: ReplayErrors;
+  /** The largest difference of any class's share within any of its aims, in points of a hundred, each way. */
+  readonly aimsOff: Readonly<Record<'followed' | 'decisions' | 'whole', number>>;
+}
+
+type Outcomes = ReadonlyMap<string, Outcome>;
+
+function aimsOffBy(recorded: Outcomes, played: Outcomes, { facts, lengthS }: Scenario): number {
+  const byClass = (outcomes: Outcomes): ReadonlyMap<string, Fared> =>
+    fared(outcomes.values(), ({ spec }) => spec.jobClass, facts, lengthS);
+  const then = byClass(played);
+  let most = 0;
+  for (const [name, { aims }] of byClass(recorded))
+    for (const [aim, share] of Object.entries(aims))
+      most = Math.max(most, Math.abs(share - (then.get(name)?.aims[aim] ?? 0)) * 100);
+  return Math.round(most * 10) / 10;
 }
 
 /** How far each way of replaying a night unchanged is off the record. */
@@ -29,12 +44,17 @@
   const scenario = scenarioOf(night);
   const recorded = outcomesOf(night);
   const free = { ...scenario, freeFromS: 0 };
-  const errors = async (played: ReturnType<typeof playDecisions>): Promise<ReplayErrors> =>
-    replayErrors(scenario, recorded, (await played).outcomes);
+  const runs = {
+    followed: (await playDecisions(scenario, seed + 1)).outcomes,
+    decisions: (await playDecisions(free, seed + 1)).outcomes,
+    whole: (await playWhole(free, seed + 1)).outcomes,
+  };
+  const errors = (played: Outcomes): ReplayErrors => replayErrors(scenario, recorded, played);
+  const off = (played: Outcomes): number => aimsOffBy(recorded, played, scenario);
   return {
-    ...{ day: day.name, seed, followed: await errors(playDecisions(scenario, seed + 1)) },
-    decisions: await errors(playDecisions(free, seed + 1)),
-    whole: await errors(playWhole(free, seed + 1)),
+    ...{ day: day.name, seed, followed: errors(runs.followed), decisions: errors(runs.decisions) },
+    whole: errors(runs.whole),
+    aimsOff: { followed: off(runs.followed), decisions: off(runs.decisions), whole: off(runs.whole) },
   };
 }
 
