What-if: one name for a machine's kind, one place for times that a replay puts in again

Need: on reading the change again, a kind's name was put together in six places and taken apart in two, and the times that reading a record takes out and a replay puts in stood twice: changed in one place they would have drifted apart. Change: kindOf and partsOf are called; JOIN_S, DEAD_S and TAIL_S have one place each.

--- a/packages/whatif/src/night/deaths.ts
+++ b/packages/whatif/src/night/deaths.ts
@@ -1,7 +1,7 @@
 import type { MachineSeen, Night } from './night.js';
 
 /** Of a silent machine: how long until its holder takes it for dead, beyond two reports. */
-const DEAD_S = 2.7;
+export const DEAD_S = 2.7;
 
 /** What was told last was still told: it died after that. */
 const AFTER_S = 0.5;
--- a/packages/whatif/src/night/scenario.ts
+++ b/packages/whatif/src/night/scenario.ts
@@ -53,7 +53,7 @@
 }
 
 /** From coming up to being in a block. */
-const JOIN_S = 1;
+export const JOIN_S = 1;
 const COLD_JOIN_S = 12;
 /** Beyond what was rented at most, where nothing was ever sold out. */
 const ROOM = 100;
--- a/packages/whatif/src/plan/apply.ts
+++ b/packages/whatif/src/plan/apply.ts
@@ -1,6 +1,6 @@
 import { jobId } from '../../../../src/kernel/index.js';
 import { Priority, whyNever, type JobSpec } from '../../../../src/jobs/index.js';
-import type { PlayedJob, PlayedMachine, Scenario } from '../night/index.js';
+import { kindOf, type PlayedJob, type PlayedMachine, type Scenario } from '../night/index.js';
 import { checkZone, momentS, type NightSpan } from './moment.js';
 import { PlanError } from './read.js';
 import type { Plan, Which } from './schema.js';
@@ -88,7 +88,7 @@
       throw new PlanError(`${what}.type: no machine type ${type} (${this.facts.types.map((t) => t.name).join(', ')})`);
     if (!known.zones.includes(zone))
       throw new PlanError(`${what}.zone: there is no ${type} in ${zone} (${known.zones.join(', ')})`);
-    return `${type} ${zone} ${spot ? 'spot' : 'ordinary'}`;
+    return kindOf({ type, zone, spot });
   }
 }
 
--- a/packages/whatif/src/replay/decisions.ts
+++ b/packages/whatif/src/replay/decisions.ts
@@ -63,8 +63,8 @@
   private beginFree(): void {
     for (const m of this.scenario.machines) {
       if (!m.initial || m.upAfterS === null) continue;
-      const [type = '', zone = '', spot] = m.kind.split(' ');
-      this.begin(type, zone, spot === 'spot');
+      const { type, zone, spot } = this.partsOf(m);
+      if (type) this.begin(type.name, zone, spot);
     }
     this.free();
   }
@@ -72,7 +72,6 @@
   /** The plan makes its first difference: from now on everything is decided here. */
   private free(): void {
     if (this.steered) this.letGo();
-    this.steered = false;
     this.plan(this.now + JOIN_S, () => this.lead());
     this.plan(this.now + JUDGE_EVERY_S, () => this.judge());
     this.soon();
@@ -302,7 +301,7 @@
       if (m?.tasks.size === 0) this.release(m);
     }
     for (const wish of inCalls(plan.rents)) {
-      const kind = `${wish.type} ${wish.zone} ${wish.spot ? 'spot' : 'ordinary'}`;
+      const kind = kindOf(wish);
       const room = capacityFor(this.scenario, kind) - (this.held.get(kind) ?? 0);
       const got = Math.min(room, wish.count);
       for (let i = 0; i < got; i++) this.begin(wish.type, wish.zone, wish.spot);
--- a/packages/whatif/src/replay/machines.ts
+++ b/packages/whatif/src/replay/machines.ts
@@ -3,6 +3,7 @@
 import { SimMachine } from './fleet.js';
 import { SimTasks } from './tasks.js';
 import { DEAD_S, JOIN_S } from './timing.js';
+import { kindOf } from '../night/index.js';
 
 /** Machines: rented, up, on notice, dead, given back. */
 export abstract class SimMachines extends SimTasks {
@@ -11,7 +12,7 @@
   protected begin(type: string, zone: string, spot: boolean): MachineId | null {
     const facts = this.types.get(type);
     if (!facts) return null;
-    const kind = `${type} ${zone} ${spot ? 'spot' : 'ordinary'}`;
+    const kind = kindOf({ type, zone, spot });
     const nth = this.count(kind);
     const id = `m${String(++this.names).padStart(6, '0')}` as MachineId;
     const script = this.machineScript(kind, nth);
@@ -111,7 +112,7 @@
     if (!this.machines.delete(m.id)) return;
     this.charge(m);
     m.alive = false;
-    const kind = `${m.type.name} ${m.zone} ${m.spot ? 'spot' : 'ordinary'}`;
+    const kind = kindOf({ type: m.type.name, zone: m.zone, spot: m.spot });
     this.held.set(kind, (this.held.get(kind) ?? 1) - 1);
   }
 }
--- a/packages/whatif/src/replay/timing.ts
+++ b/packages/whatif/src/replay/timing.ts
@@ -1,3 +1,5 @@
+// A replay puts in again what reading the record took out.
+export { DEAD_S, JOIN_S } from '../night/index.js';
 /** A command's way to the worker and its effect. Seconds, as all times here; measured on the region. */
 export const ORDER_S = 0.02;
 /** A report's way back. */
@@ -10,10 +12,6 @@
 export const LEAD_EVERY_S = 1;
 export const JUDGE_EVERY_S = 2;
 export const LOOK_EVERY_S = 15;
-/** From a machine's first report to its place in a block. */
-export const JOIN_S = 1;
-/** Of a silent machine: how long until its holder takes it for dead, beyond two reports. */
-export const DEAD_S = 2.7;
 /** A kind that the cloud had too few of is not asked for again for so long. */
 export const REFUSED_S = 15;
 /** Played on after the night's end, so that what is late can end. */
--- a/packages/whatif/src/replay/whole.ts
+++ b/packages/whatif/src/replay/whole.ts
@@ -4,14 +4,13 @@
 import { HttpClient } from '../../../../src/kernel/index.js';
 import { JobTruth, Luck, readDay, Region, type Day, type Script, type Submission } from '../../../region/src/index.js';
 import { MemoryFiles, readTrace, Recorder, TraceStore, type Files } from '../../../trace/src/index.js';
-import { capacityFor, outcomesOf, readNight, type Scenario } from '../night/index.js';
+import { capacityFor, kindOf, outcomesOf, readNight, type Scenario } from '../night/index.js';
 import type { Played, ReplayOptions } from './engine.js';
 import { runsOf, scriptMachines } from './script.js';
+import { TAIL_S } from './timing.js';
 
 /** Controllers that were up long before the night begins have their shards and machines by then. */
 const LEAD_S = 30;
-/** Played on after the night's end, so that what is late can end. */
-const TAIL_S = 3600;
 const TRAIL = 400_000;
 
 const SHAPES = { array: 'sweep', gang: 'ensemble', service: 'daemon' } as const;
@@ -64,7 +63,7 @@
     })),
     machines: kinds.flatMap(({ name, zone }) =>
       [false, true].flatMap((spot) => {
-        const count = initial.get(`${name} ${zone} ${spot ? 'spot' : 'ordinary'}`) ?? 0;
+        const count = initial.get(kindOf({ type: name, zone, spot })) ?? 0;
         return count > 0 ? [{ type: name, zone, spot, count }] : [];
       }),
     ),
