Region plays controllers of earlier releases, and replaces them one after the other

Need: operators run any landing in place of the one before, one controller at a time, so every landing has to be tried beside the last one.

--- a/packages/region/src/controller.ts
+++ b/packages/region/src/controller.ts
@@ -1,17 +1,18 @@
-import type { Service } from '../../../src/service/index.js';
 import type { ControllerSeat } from './parts.js';
+import { THIS, type Running } from './releases/index.js';
 import type { Host, SimProcess } from './sim/index.js';
 
-/** One controller's machine: the service runs on it, ends, and is started again. */
+/** One controller's machine: the service runs on it, ends, and is started again, maybe as another release. */
 export class Controller {
   process: SimProcess | null = null;
-  service: Service | null = null;
   starts = 0;
 
   constructor(
     readonly seat: ControllerSeat,
     readonly host: Host,
-    private readonly launch: (controller: Controller) => { process: SimProcess; service: Service },
+    private readonly launch: (controller: Controller) => { process: SimProcess; service: Running },
+    /** Which release its next life is of. */
+    public release: string = THIS,
   ) {}
 
   start(): void {
@@ -19,7 +20,6 @@
     this.starts += 1;
     const { process, service } = this.launch(this);
     this.process = process;
-    this.service = service;
     service.start();
   }
 
@@ -27,6 +27,5 @@
   crash(): void {
     this.process?.kill();
     this.process = null;
-    this.service = null;
   }
 }
--- a/packages/region/src/day/read.ts
+++ b/packages/region/src/day/read.ts
@@ -75,6 +75,8 @@
         return { path: ['classes', i, 'aims', j], message: 'the class has no deadline_factor' };
     }
   }
+  if (day.controllers.releases.length > day.controllers.count)
+    return { path: ['controllers', 'releases'], message: `${day.controllers.count} controllers, but more releases` };
   for (const [i, trouble] of day.troubles.entries()) {
     const path = ['troubles', i];
     if (trouble.at_s >= day.duration_s) return { path: [...path, 'at_s'], message: 'begins after the day has ended' };
@@ -89,6 +91,8 @@
       trouble.controller >= day.controllers.count
     )
       return { path: [...path, 'controller'], message: `there are ${day.controllers.count} controllers, from 0` };
+    if (trouble.kind === 'rollout' && trouble.order?.some((which) => which >= day.controllers.count))
+      return { path: [...path, 'order'], message: `there are ${day.controllers.count} controllers, from 0` };
     if (trouble.kind.startsWith('machines_')) {
       const { count, share } = trouble as { readonly count?: number; readonly share?: number };
       if ((count === undefined) === (share === undefined)) return { path, message: 'needs either a count or a share' };
--- a/packages/region/src/day/schema.ts
+++ b/packages/region/src/day/schema.ts
@@ -57,6 +57,11 @@
   aims: maybe(v.array(aim), []),
 });
 
+/** `this`, or the name of a controller frozen earlier. */
+const release = v.pipe(
+  v.string(),
+  v.regex(/^[a-z0-9][a-z0-9-]{0,40}$/, 'must be "this" or the name of a frozen release'),
+);
 const at = { at_s: amount };
 const lasting = { ...at, for_s: positive };
 const machines = { share: v.optional(share), count: v.optional(some) };
@@ -89,6 +94,17 @@
   }),
   v.strictObject({ kind: v.literal('controller_refused'), ...lasting, controller }),
   v.strictObject({ kind: v.literal('rolling_restart'), ...at, gap_s: positive }),
+  /** Controllers are replaced one after the other, in this order, by another release. */
+  v.strictObject({
+    kind: v.literal('rollout'),
+    ...at,
+    gap_s: positive,
+    to: maybe(release, 'this'),
+    order: v.optional(v.pipe(v.array(count), v.minLength(1))),
+    down_s: v.optional(positive),
+    /** Each is asked to leave before it is ended. */
+    leave: maybe(v.boolean(), false),
+  }),
   v.strictObject({ kind: v.literal('peers_refuse'), ...lasting }),
   v.strictObject({ kind: v.literal('state_outage'), ...lasting }),
   v.strictObject({ kind: v.literal('state_slow'), ...lasting, times: v.pipe(v.number(), v.gtValue(1)) }),
@@ -111,6 +127,8 @@
   controllers: v.strictObject({
     count: v.pipe(some, v.maxValue(9)),
     restart_s: maybe(positive, 4),
+    /** Which release each controller begins as, by its number; those not named are `this`. */
+    releases: maybe(v.array(release), []),
     max_connections: maybe(some, 2000),
     skew_ms: maybe(amount, 50),
     drift: maybe(v.pipe(v.number(), v.minValue(0), v.maxValue(0.0005)), 0.0005),
--- a/packages/region/src/index.ts
+++ b/packages/region/src/index.ts
@@ -5,6 +5,7 @@
 export * from './controller.js';
 export * from './parts.js';
 export * from './real.js';
+export * from './releases/index.js';
 export * from './region.js';
 export * from './settings.js';
 export { svg } from './report/index.js';
--- a/packages/region/src/region.ts
+++ b/packages/region/src/region.ts
@@ -1,15 +1,14 @@
 import { sha256 } from '@noble/hashes/sha2.js';
 import { bytesToHex, utf8ToBytes } from '@noble/hashes/utils.js';
 import { pino } from 'pino';
-import { parseSettings } from '../../../src/config/index.js';
-import { isObject, type Logger } from '../../../src/kernel/index.js';
-import { Service } from '../../../src/service/index.js';
+import { HttpClient, isObject, type Logger } from '../../../src/kernel/index.js';
 import type { Breach } from './checker/index.js';
 import { Controller } from './controller.js';
 import type { Day } from './day/index.js';
 import type { ClassResult, Moment } from './daybook.js';
 import { RegionParts, type ControllerSeat, type Place, type Seat } from './parts.js';
 import type { Script } from './models/index.js';
+import { Releases, THIS, type Running } from './releases/index.js';
 import { settingsFor } from './settings.js';
 import { DAY_BEGINS, Luck, Network, rest, SimProcess, World } from './sim/index.js';
 import { playTrouble, type Troubled } from './troubles.js';
@@ -19,6 +18,11 @@
 const USERS = { host: '10.3.0.1', port: 80 };
 const WORKER_PORT = 9000;
 const LOOK_EVERY_MS = 5000;
+/** Where the repository keeps the controllers of earlier releases. */
+const FROZEN = 'packages/region/frozen';
+const LEAVE_ASKED_MS = 2000;
+const LEFT_LOOKED_MS = 100;
+const LEFT_WITHIN_MS = 20_000;
 const MOST_LOG_BYTES = 64 * 1024 * 1024;
 
 export interface RegionOptions {
@@ -34,6 +38,8 @@
   readonly script?: Script;
   /** Controllers keep so many of their last events for those who record them. */
   readonly trailEvents?: number;
+  /** Where the controllers of earlier releases are kept, for days that play them. */
+  readonly releases?: Releases;
   /** For tests: what the controllers are told, instead of what is true. */
   readonly settings?: (toml: string) => string;
 }
@@ -88,9 +94,11 @@
   private nextWorker = 0;
   private bystanders = 0;
   private readonly timeline: RegionMoment[] = [];
+  private readonly releases: Releases;
 
   constructor(private readonly options: RegionOptions) {
     const { day } = options;
+    this.releases = options.releases ?? new Releases(FROZEN);
     this.day = day;
     this.seed = options.seed ?? day.seed;
     this.luck = new Luck(this.seed, day.name);
@@ -119,10 +127,19 @@
       ...(options.broken ? { broken: options.broken } : {}),
       ...(options.script ? { script: options.script } : {}),
     });
-    this.controllers = seats.map((seat) => {
+    this.controllers = seats.map((seat, i) => {
       const host = this.network.host(seat.serveOn.host, seat.zone);
-      return new Controller(seat, host, (controller) => this.launch(controller, seats));
+      const made = new Controller(
+        seat,
+        host,
+        (controller) => this.launch(controller, seats),
+        day.controllers.releases[i],
+      );
+      // A release that isn't there is said before the day begins.
+      this.releases.of(made.release);
+      return made;
     });
+    for (const trouble of day.troubles) if (trouble.kind === 'rollout') this.releases.of(trouble.to);
   }
 
   get now(): number {
@@ -175,9 +192,9 @@
     return this.processes.get(machine);
   }
 
-  private launch(controller: Controller, seats: readonly ControllerSeat[]): { process: SimProcess; service: Service } {
+  private launch(controller: Controller, seats: readonly ControllerSeat[]): { process: SimProcess; service: Running } {
     const { day, settings, controllerLog, trailEvents } = this.options;
-    const { seat, host, starts } = controller;
+    const { seat, host, starts, release } = controller;
     const luck = this.luck.fork(`${seat.name} ${starts}`);
     const clocks = { drift: luck.between(0, 1) * day.controllers.drift, wanderMs: day.controllers.skew_ms / 2 };
     const { max_connections: most } = day.controllers;
@@ -194,8 +211,8 @@
         )
       : this.log;
     const options = trailEvents === undefined ? {} : { trailEvents };
-    const service = new Service(parseSettings(settings ? settings(toml) : toml), log, process, options);
-    this.note(`starts ${seat.name}`);
+    const service = this.releases.of(release).make(settings ? settings(toml) : toml, log, process, options);
+    this.note(`starts ${seat.name}${release === THIS ? '' : ` as ${release}`}`);
     return { process, service };
   }
 
@@ -207,6 +224,43 @@
     this.world.plan(this.world.now + downS * 1000, () => controller.start());
   }
 
+  /**
+   * Ends a controller and starts it again as another release. It is asked to leave first where that is wanted; one
+   * that doesn't know the request, or hasn't left in time, is ended all the same.
+   */
+  replace(controller: Controller, to: string, downS: number, leave: boolean): void {
+    const end = (): void => {
+      controller.release = to;
+      this.crash(controller, downS);
+    };
+    if (!leave || !controller.process) end();
+    else void this.leaves(controller).then(end);
+  }
+
+  private async leaves({ seat }: Controller): Promise<void> {
+    const operator = this.bystander(`operator of ${seat.name}`);
+    const client = new HttpClient(seat.serveOn, 1, operator);
+    const ask = async (method: 'GET' | 'POST', path: string): Promise<unknown> => {
+      const answer = await client.call({
+        method,
+        path,
+        timeoutMs: LEAVE_ASKED_MS,
+        ...(method === 'POST' ? { body: {} } : {}),
+      });
+      return answer.kind === 'answered' && answer.status < 300 ? answer.body : null;
+    };
+    const until = operator.now() + LEFT_WITHIN_MS;
+    if ((await ask('POST', '/admin/v1/leave')) !== null) {
+      this.note(`leaves ${seat.name}`);
+      while (operator.now() < until) {
+        const said = await ask('GET', '/admin/v1/leave');
+        if (isObject(said) && said['left'] === true) break;
+        await operator.sleep(LEFT_LOOKED_MS);
+      }
+    }
+    client.close();
+  }
+
   /** The controller that leads, by what the state service holds. */
   get leader(): Controller | undefined {
     const value = this.parts.state.get('live/leader');
--- /dev/null
+++ b/packages/region/src/releases/index.ts
@@ -0,0 +1,1 @@
+export * from './releases.js';
--- a/packages/region/src/troubles.ts
+++ b/packages/region/src/troubles.ts
@@ -23,6 +23,8 @@
   processOf(machine: string): SimProcess | undefined;
   /** Ends a controller, and starts it again after so many seconds. */
   crash(controller: Controller, downS: number): void;
+  /** Ends it and starts it again as another release, after it was asked to leave where that is wanted. */
+  replace(controller: Controller, to: string, downS: number, leave: boolean): void;
 }
 
 /** What a controller is cut off from. */
@@ -159,6 +161,17 @@
       for (const [i, controller] of region.controllers.entries())
         world.plan(world.now + i * trouble.gap_s * 1000, () => region.crash(controller, day.controllers.restart_s));
       break;
+    case 'rollout': {
+      const order = trouble.order ?? region.controllers.map((_, i) => i);
+      for (const [i, which] of order.entries()) {
+        const controller = region.controllers[which];
+        if (!controller) continue;
+        world.plan(world.now + i * trouble.gap_s * 1000, () =>
+          region.replace(controller, trouble.to, trouble.down_s ?? day.controllers.restart_s, trouble.leave),
+        );
+      }
+      break;
+    }
     case 'peers_refuse':
       cutFor(trouble.for_s, 'refuse', (a, b) => isController(a) && isController(b));
       break;
