--- a/packages/region/src/releases/releases.ts
+++ b/packages/region/src/releases/releases.ts
@@ -1,9 +1,10 @@
-import { createHash } from 'node:crypto';
 import { existsSync, readFileSync } from 'node:fs';
 import { createRequire } from 'node:module';
-import { join } from 'node:path';
+import { join, resolve } from 'node:path';
 import { compileFunction } from 'node:vm';
 import { brotliDecompressSync } from 'node:zlib';
+import { sha256 } from '@noble/hashes/sha2.js';
+import { bytesToHex } from '@noble/hashes/utils.js';
 import * as v from 'valibot';
 import { parseSettings } from '../../../../src/config/index.js';
 import type { Logger, Runtime } from '../../../../src/kernel/index.js';
@@ -70,13 +71,13 @@
     if (!existsSync(file)) throw new ReleaseError(`${file} is missing`);
     const code = brotliDecompressSync(readFileSync(file));
     // A frozen controller that was changed would prove nothing about the one that operators run.
-    if (createHash('sha256').update(code).digest('hex') !== entry.sha256)
+    if (bytesToHex(sha256(code)) !== entry.sha256)
       throw new ReleaseError(`${file} is not what was frozen: its checksum differs from releases.json`);
     const module = { exports: {} as unknown };
     const load = compileFunction(code.toString('utf8'), ['module', 'exports', 'require'], { filename: file }) as (
       ...given: unknown[]
     ) => void;
-    load(module, module.exports, createRequire(join(process.cwd(), 'frozen.js')));
+    load(module, module.exports, createRequire(resolve(file)));
     const { Service: Frozen, parseSettings: parse } = module.exports as FrozenModule;
     const release: Release = {
       name,
