--- a/src/admin/api.ts
+++ b/src/admin/api.ts
@@ -1,4 +1,5 @@
 import { Router } from 'express';
+import { rolloutRouter, type RolloutDesk } from './rollout.js';
 import { encodeSettings, mark, parseTunables, type MachineMark, type SettingsStore } from './settings.js';
 
 const MARKS: readonly MachineMark[] = ['cordon', 'drain', 'uncordon'];
@@ -21,8 +22,14 @@
 }
 
 /** The administration API: operators' settings, and what this node sees. */
-export function adminRouter(store: SettingsStore, status: () => unknown, trail: TrailView | null): Router {
+export function adminRouter(
+  store: SettingsStore,
+  status: () => unknown,
+  rollout: RolloutDesk,
+  trail: TrailView | null,
+): Router {
   const router = Router();
+  router.use(rolloutRouter(rollout));
   const later = { error: 'the state service gives no answer, try again' };
 
   router.get('/status', (_req, res) => {
--- a/src/admin/index.ts
+++ b/src/admin/index.ts
@@ -1,2 +1,3 @@
 export * from './api.js';
+export * from './rollout.js';
 export * from './settings.js';
--- a/src/admin/settings.ts
+++ b/src/admin/settings.ts
@@ -1,15 +1,29 @@
 import * as v from 'valibot';
 import { isObject } from '../kernel/index.js';
 import { DEFAULT_TUNABLES, type Tunables } from '../speculation/index.js';
-import { SETTINGS, Urgency, type Mirror, type StateClient } from '../state/index.js';
+import {
+  isForeign,
+  SETTINGS,
+  unknownFields,
+  Urgency,
+  type Fields,
+  type Mirror,
+  type StateClient,
+} from '../state/index.js';
 
 /** What operators set. Stored in the state service and taken up by every node through the watch. */
 export interface OperatorSettings {
   readonly tunables: Tunables;
   readonly cordoned: ReadonlySet<string>;
   readonly drained: ReadonlySet<string>;
+  /** What a later release has added, fields and tunables; it is kept. */
+  readonly rest?: Fields;
+  readonly restTunables?: Fields;
 }
 
+/** The newest version of the settings that this program reads. */
+export const SETTINGS_FORMAT = 1;
+
 const share = v.pipe(v.number(), v.minValue(0), v.maxValue(1));
 const weight = v.pipe(v.number(), v.minValue(0), v.maxValue(10));
 
@@ -25,6 +39,9 @@
   roundShare: v.optional(v.pipe(v.number(), v.gtValue(0), v.maxValue(1))),
 });
 
+const TUNABLES: ReadonlySet<string> = new Set(Object.keys(tunables.entries));
+const KNOWN: ReadonlySet<string> = new Set(['tunables', 'cordoned', 'drained']);
+
 export type TunablesPatch = v.InferOutput<typeof tunables>;
 export type MachineMark = 'cordon' | 'drain' | 'uncordon';
 
@@ -39,18 +56,25 @@
 const strings = (value: unknown): string[] => (Array.isArray(value) ? value.filter((x) => typeof x === 'string') : []);
 
 export function decodeSettings(value: unknown): OperatorSettings {
-  const stored = isObject(value) ? value : {};
-  const parsed = parseTunables(stored['tunables'] ?? {});
+  const stored = isObject(value) && !isForeign(value, SETTINGS_FORMAT) ? value : {};
+  const given = isObject(stored['tunables']) ? stored['tunables'] : {};
+  // A tunable that only a later release has must not cost the others.
+  const restTunables = unknownFields(given, TUNABLES);
+  const own = Object.fromEntries(Object.entries(given).filter(([name]) => TUNABLES.has(name)));
+  const parsed = parseTunables(own);
   const known = parsed.ok ? Object.fromEntries(Object.entries(parsed.patch).filter(([, x]) => x !== undefined)) : {};
   return {
     tunables: { ...DEFAULT_TUNABLES, ...known },
     cordoned: new Set(strings(stored['cordoned'])),
     drained: new Set(strings(stored['drained'])),
+    rest: unknownFields(stored, KNOWN),
+    restTunables,
   };
 }
 
 export const encodeSettings = (s: OperatorSettings): unknown => ({
-  tunables: s.tunables,
+  ...s.rest,
+  tunables: { ...s.restTunables, ...s.tunables },
   cordoned: [...s.cordoned].sort(),
   drained: [...s.drained].sort(),
 });
--- a/src/holder/deps.ts
+++ b/src/holder/deps.ts
@@ -1,7 +1,7 @@
 import type { MachineType } from '../cloud/index.js';
 import type { Settings } from '../config/index.js';
 import type { JobRegistry, JobSpec } from '../jobs/index.js';
-import type { Logger, Millis, NodeName, Runtime, ShardName, SocketBudget } from '../kernel/index.js';
+import type { Incarnation, Logger, Millis, NodeName, Runtime, ShardName, SocketBudget } from '../kernel/index.js';
 import type { Tunables } from '../speculation/index.js';
 import type { Mirror, StateClient } from '../state/index.js';
 import type { Trail } from '../trail/index.js';
@@ -14,6 +14,7 @@
 
 export interface HolderDeps {
   readonly self: NodeName;
+  readonly incarnation: Incarnation;
   readonly settings: Settings;
   readonly state: StateClient;
   readonly mirror: Mirror;
@@ -30,6 +31,8 @@
   heldUntil(): Millis;
   /** True while nobody else can have claimed our shards, whatever the watch has not shown yet. */
   certain(): boolean;
+  /** Progress of a shard's jobs is stored in one record for all of them. */
+  grouped(): boolean;
   /** Something is to be done soon. */
   nudge(): void;
   /** A worker has answered. */
--- a/src/holder/held.ts
+++ b/src/holder/held.ts
@@ -1,4 +1,4 @@
-import { decodeRecord, type JobSpec } from '../jobs/index.js';
+import { decodeRecord, isForeignJob, type JobSpec } from '../jobs/index.js';
 import {
   isObject,
   jobId,
@@ -13,7 +13,7 @@
   type ShardName,
 } from '../kernel/index.js';
 import type { PreviousHolder, ShardValue } from '../membership/index.js';
-import { JOBS, shardKey, type Change } from '../state/index.js';
+import { JOBS, progressKey, shardKey, type Change } from '../state/index.js';
 import {
   Whereabouts,
   encodeRedirect,
@@ -23,6 +23,7 @@
   type WorkerMessage,
 } from '../workers/index.js';
 import { bookingOf, type Booking } from './booking.js';
+import { recall } from './grouping.js';
 import { HeldMachine } from './machine.js';
 import { JobRun, type ActiveTask, type StopReason } from './run.js';
 import type { HolderDeps, ReportReply } from './deps.js';
@@ -42,6 +43,8 @@
   readonly whereabouts = new Whereabouts();
   /** Jobs that are over while something of theirs may be on a machine. */
   readonly endedRuns = new Set<JobRun>();
+  /** Jobs of this shard whose records only a later release reads: what runs of them goes on, nothing of them starts. */
+  private readonly foreign = new Set<JobId>();
   /** Machines with something to stop. */
   readonly toStop = new Set<HeldMachine>();
   /** Something has changed that a plan depends on. */
@@ -161,6 +164,8 @@
   onJob(change: Change): void {
     const id = jobId(change.key.slice(JOBS.length));
     const run = this.jobs.get(id);
+    if (change.removed || !isForeignJob(change.value)) this.foreign.delete(id);
+    else return this.leaveAlone(id, run);
     if (change.removed) {
       if (run && !run.ended) this.endRun(run);
       return;
@@ -175,12 +180,13 @@
     if (run && !run.ended) {
       run.version = change.version;
       run.record = record;
-      run.stored = record.done;
+      run.stored = run.stored.union(record.done);
       return;
     }
     const bornField = isObject(change.value) ? change.value['born'] : undefined;
     const born = typeof bornField === 'number' ? revision(bornField) : change.version;
     const fresh = new JobRun(record, change.version, born, this.deps.runtime.now());
+    recall(fresh, this.deps.mirror.get(progressKey(this.shard))?.value);
     if (run) this.endedRuns.delete(run);
     this.jobs.set(id, fresh);
     const { spec, submittedAt } = record;
@@ -195,6 +201,19 @@
     this.soon();
   }
 
+  private leaveAlone(id: JobId, run: JobRun | undefined): void {
+    if (this.foreign.has(id)) return;
+    this.foreign.add(id);
+    this.deps.log.error({ job: id }, "a job's record can't be read by this release: it is left alone");
+    if (!run) return;
+    // It was ours and has been rewritten by a later release: what runs of it stays where it is.
+    this.jobs.delete(id);
+    this.endedRuns.delete(run);
+    for (const machine of this.machines.values()) {
+      for (const [key, held] of machine.active) if (held.run === run) machine.active.delete(key);
+    }
+  }
+
   endRun(run: JobRun): void {
     run.ended = true;
     this.endedRuns.add(run);
@@ -271,7 +290,8 @@
     for (const [key, listed] of machine.belief.tasks) {
       if (listed.state !== 'exited' || machine.belief.pendingStarts.has(key)) continue;
       const run = this.jobs.get(listed.job);
-      const kept = listed.why === 'done' && run && !run.ended && !run.stored.has(listed.index);
+      const kept =
+        this.foreign.has(listed.job) || (listed.why === 'done' && run && !run.ended && !run.stored.has(listed.index));
       if (!kept) orders.push({ op: 'forget', key, attempt: listed.attempt });
       // Such a task may be started there again, which is plainest when nothing is left of it.
       if (!kept && listed.why !== 'done') atOnce = true;
@@ -285,6 +305,7 @@
     if (machine.belief.fenced) this.unfence(machine.id);
     for (const [key, listed] of machine.belief.tasks) {
       const run = this.jobs.get(listed.job);
+      if (this.foreign.has(listed.job)) continue;
       if (!run) {
         // Cancelled while the earlier holder was down: nobody else will ever stop it.
         if (listed.state !== 'exited') this.toStop.add(machine);
@@ -461,6 +482,7 @@
   /** How long a task may save before it is gone, or null when it may stay. */
   graceOf(machine: HeldMachine, listed: ListedTask, now: Millis): number | null {
     const run = this.jobs.get(listed.job);
+    if (this.foreign.has(listed.job)) return null;
     if (!run || run.ended || run.done.has(listed.index)) return 0;
     const active = run.active.get(listed.index);
     if (!active || active.machine !== machine.id || active.attempt !== listed.attempt) return 0;
--- a/src/holder/holder.ts
+++ b/src/holder/holder.ts
@@ -12,6 +12,7 @@
   type NodeName,
   type ShardName,
 } from '../kernel/index.js';
+import type { Change } from '../state/index.js';
 import type { MachineSummary, ShardSummary } from '../peers/index.js';
 import type { Order } from '../workers/index.js';
 import { usesAccelerators } from './booking.js';
@@ -57,6 +58,11 @@
     return this.moves.quiet;
   }
 
+  /** What is stored as done of this shard's jobs has changed. */
+  onProgress(change: Change): void {
+    this.store.grouped.onChange(change);
+  }
+
   /** Gives the shard up by a write; see `Moves`. */
   giveUp(why: string, to: NodeName | null = null): Promise<boolean> {
     return this.moves.giveUp(why, to);
--- a/src/holder/store.ts
+++ b/src/holder/store.ts
@@ -1,3 +1,4 @@
+import { GroupedProgress } from './grouping.js';
 import type { HeldShard } from './held.js';
 import { decodeRecord, encodeRecord } from '../jobs/index.js';
 import { millis, type Millis } from '../kernel/index.js';
@@ -12,20 +13,24 @@
 /** Writes what has been done to the state service: completions at once, progress as far as changes are left. */
 export class RecordStore {
   private storingProgress = 0;
+  readonly grouped: GroupedProgress;
 
-  constructor(private readonly held: HeldShard) {}
+  constructor(private readonly held: HeldShard) {
+    this.grouped = new GroupedProgress(held);
+  }
 
   /**
    * Completions at once; progress as far as changes a second are left, the longest unsaved first.
    * Progress that is lost costs little, so nobody else's write ever waits for it.
    */
   store(now: Millis): void {
+    const own = this.grouped.store(now);
     const unsaved: JobRun[] = [];
     for (const run of this.held.jobs.values()) {
       if (run.ended || run.storing || run.moving) continue;
       if (run.complete) {
         if (now >= run.finishNotBefore) void this.storing(run, () => this.finish(run));
-      } else if (run.done.count > run.stored.count && now - run.lastStoredAt >= PROGRESS_EVERY_MS) unsaved.push(run);
+      } else if (own(run) && now - run.lastStoredAt >= PROGRESS_EVERY_MS) unsaved.push(run);
     }
     if (unsaved.length === 0 || this.storingProgress >= PROGRESS_AT_ONCE) return;
     unsaved.sort((a, b) => a.lastStoredAt - b.lastStoredAt);
@@ -92,7 +97,7 @@
       if (record && !run.ended && record.shard === this.held.shard) {
         run.version = read.entry.version;
         run.record = record;
-        run.stored = record.done;
+        run.stored = run.stored.union(record.done);
       }
     } else if (read.kind === 'absent') this.held.endRun(run);
   }
--- a/src/jobs/index.ts
+++ b/src/jobs/index.ts
@@ -1,4 +1,5 @@
 export * from './admission.js';
 export * from './model.js';
+export * from './progress.js';
 export * from './registry.js';
 export { encodeView, parseJobId, parseSubmission } from './wire.js';
--- a/src/kernel/bits.ts
+++ b/src/kernel/bits.ts
@@ -26,6 +26,20 @@
     return true;
   }
 
+  /** Its numbers, in order. */
+  *members(): Generator<number> {
+    for (const [at, byte] of this.bytes.entries()) {
+      for (let bit = 0; byte >> bit !== 0; bit++) if (((byte >> bit) & 1) !== 0) yield at * 8 + bit;
+    }
+  }
+
+  /** All numbers of either; of the same size. */
+  union(other: Bits): Bits {
+    const both = this.copy();
+    for (const index of other.members()) both.add(index);
+    return both;
+  }
+
   copy(): Bits {
     return new Bits(this.size, this.bytes.slice(), this.set);
   }
--- a/src/leasing/leader.ts
+++ b/src/leasing/leader.ts
@@ -124,6 +124,8 @@
       this.term = null;
       return;
     }
+    // Its machines are in no block that is known here, and would be taken for loose ones.
+    if (this.deps.shards.unreadable.size > 0) return;
     const now = this.deps.runtime.now();
     if (term !== this.term) {
       this.term = term;
--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -16,12 +16,18 @@
   private readonly placed = new Map<MachineId, ShardName>();
 
   private generation = -1;
+  private readonly closed = new Map<ShardName, Revision>();
 
   constructor(private readonly mirror: Mirror) {}
 
   get all(): ReadonlyMap<ShardName, KnownShard> {
+    this.follow();
+    return this.shards;
+  }
+
+  private follow(): void {
     const generation = this.mirror.generationOf(SHARDS);
-    if (generation === this.generation) return this.shards;
+    if (generation === this.generation) return;
     this.generation = generation;
     for (const entry of this.mirror.under(SHARDS)) {
       const name = entry.key.slice(SHARDS.length) as ShardName;
@@ -32,11 +38,21 @@
         if (this.placed.get(machine.id) === name) this.placed.delete(machine.id);
       }
       this.shards.delete(name);
+      if (value) this.closed.delete(name);
+      else this.closed.set(name, entry.version);
       if (!value) continue;
       this.shards.set(name, { value, version: entry.version });
       for (const machine of value.machines) this.placed.set(machine.id, name);
     }
-    return this.shards;
+  }
+
+  /**
+   * Shards whose record this program can't read, with its version. Which machines they have is not known here, so
+   * whoever sees one claims nothing of it, leads nobody, and leaves machines of no known block alone.
+   */
+  get unreadable(): ReadonlyMap<ShardName, Revision> {
+    this.follow();
+    return this.closed;
   }
 
   shardOf(machine: MachineId): ShardName | null {
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -10,9 +10,18 @@
   type Revision,
   type ShardName,
 } from '../kernel/index.js';
-import { LEADER, nodeKey, shardKey, Urgency, type Mirror, type StateClient } from '../state/index.js';
+import {
+  formatOf,
+  LEADER,
+  nodeKey,
+  shardKey,
+  Urgency,
+  type Fields,
+  type Mirror,
+  type StateClient,
+} from '../state/index.js';
 import type { ShardDirectory } from './directory.js';
-import { earlierHolders, encodeShard, type PreviousHolder, type ShardValue } from './shard.js';
+import { earlierHolders, encodeShard, SHARD_FORMAT, type PreviousHolder, type ShardValue } from './shard.js';
 
 export const LEASE_MS = 4000;
 const RENEW_EVERY_MS = 1000;
@@ -26,9 +35,16 @@
   verify(): Promise<boolean>;
   /** False while another node would hold shards better. */
   mayClaim(): boolean;
+  /** False while another node should lead. */
+  mayLead(): boolean;
+  /** What this node's key says of its program, beside its incarnation. */
+  announcement(): Fields;
 }
 
-/** Is a shard free to be claimed? Its holder's key is gone, or belongs to a later life of the node. */
+/**
+ * Is a shard free to be claimed? It was never held, or its holder has released it, or its holder's key is gone or
+ * belongs to a later life of the node. Not for records that can't be read: they stand for somebody's shard.
+ */
 export function isVacant(value: ShardValue | null, alive: (node: NodeName) => Incarnation | null): boolean {
   return value === null || value.released || alive(value.holder) !== value.incarnation;
 }
@@ -40,6 +56,7 @@
   private nodeVersion: Revision | undefined;
   private readonly previous = new Map<ShardName, readonly PreviousHolder[]>();
   private vacantSince = new Map<ShardName, Millis>();
+  private readonly leftAlone = new Set<ShardName>();
   private provenAt: Millis;
   private readonly startedAt: Millis;
 
@@ -122,7 +139,7 @@
     }
     this.lease ??= (await this.state.grantLease(LEASE_MS)) ?? undefined;
     if (this.lease === undefined) return;
-    const value = { incarnation: this.incarnation };
+    const value = { ...this.hooks.announcement(), incarnation: this.incarnation };
     const result = await this.state.txn(
       Urgency.session,
       [],
@@ -139,7 +156,10 @@
 
   /** One round: lead if nobody does. */
   async elect(): Promise<void> {
-    if (this.lease === undefined || this.nodeVersion === undefined || this.mirror.get(LEADER)) return;
+    if (this.lease === undefined || this.nodeVersion === undefined) return;
+    // Whoever can't read every block would lease a machine that is in one of them to another.
+    if (this.directory.unreadable.size > 0 || !this.hooks.mayLead()) return this.standDown();
+    if (this.mirror.get(LEADER)) return;
     const value = { node: this.self, incarnation: this.incarnation };
     const result = await this.state.txn(
       Urgency.shard,
@@ -155,6 +175,16 @@
     }
   }
 
+  /** Leads no more; every write of the leader is guarded by the key that goes. */
+  private async standDown(): Promise<void> {
+    const { leading } = this;
+    if (leading === null) return;
+    const result = await this.state.txn(Urgency.shard, [{ key: LEADER, version: leading }], [{ remove: LEADER }]);
+    if (result.kind !== 'ok') return;
+    this.mirror.apply({ key: LEADER, value: undefined, removed: true, version: result.revision });
+    this.log.info('this node leads no more');
+  }
+
   /** One round: claim what is vacant, our own shard at once and others' after a pause by rank. */
   async claim(): Promise<void> {
     const nodeVersion = this.nodeVersion;
@@ -162,6 +192,11 @@
     const now = this.clock.now();
     for (const shard of this.shards) {
       const entry = this.mirror.get(shardKey(shard));
+      if (this.directory.unreadable.has(shard)) {
+        this.leaveAlone(shard);
+        continue;
+      }
+      this.leftAlone.delete(shard);
       // Asked several times a second: a block's record holds hundreds of machines and is decoded once.
       const value = this.directory.all.get(shard)?.value ?? null;
       if (!isVacant(value, this.alive)) {
@@ -175,6 +210,18 @@
     }
   }
 
+  /** Overwriting it would lose its machines, and run again what runs on them. */
+  private leaveAlone(shard: ShardName): void {
+    this.vacantSince.delete(shard);
+    if (this.leftAlone.has(shard)) return;
+    this.leftAlone.add(shard);
+    const stored = this.mirror.get(shardKey(shard))?.value;
+    this.log.error(
+      { shard, format: formatOf(stored), reads: SHARD_FORMAT },
+      "a shard's record can't be read by this release: it is left alone",
+    );
+  }
+
   private delayFor(shard: ShardName, exists: boolean, value: ShardValue | null, now: Millis): number {
     if ((shard as string) === (this.self as string)) return 0;
     // Its holder has handed it to this node.
@@ -216,6 +263,7 @@
       next: null,
       earlier,
       machines: value?.machines ?? [],
+      ...(value?.rest === undefined ? {} : { rest: value.rest }),
     };
     // Noted before the write: a claim whose outcome is unknown shows in the watch.
     this.previous.set(shard, earlier);
--- a/src/membership/shard.ts
+++ b/src/membership/shard.ts
@@ -9,6 +9,7 @@
   type MachineId,
   type NodeName,
 } from '../kernel/index.js';
+import { isForeign, unknownFields, type Fields } from '../state/index.js';
 
 export interface BlockMachine {
   readonly id: MachineId;
@@ -35,13 +36,19 @@
   /** Holders before this one that nobody has yet known to have stopped. */
   readonly earlier: readonly PreviousHolder[];
   readonly machines: readonly BlockMachine[];
+  /** What a later release has added to the record; it is kept. */
+  readonly rest?: Fields;
 }
 
+/** The newest version of a shard's record that this program reads, and the one it writes. */
+export const SHARD_FORMAT = 1;
+const KNOWN: ReadonlySet<string> = new Set(['holder', 'incarnation', 'released', 'next', 'earlier', 'kinds']);
+
 /**
  * As it is stored. Machines are grouped by kind, each as its name and address in one text: a block
  * of a thousand must stay below what the state service takes as one value.
  */
-interface StoredShard {
+interface StoredShard extends Fields {
   readonly holder: string;
   readonly incarnation: string;
   readonly released: boolean;
@@ -65,7 +72,8 @@
   }
   const { holder, released, earlier, next } = value;
   const named = next === null ? {} : { next };
-  return { holder, incarnation: value.incarnation, released, ...named, earlier, kinds: [...kinds.values()] };
+  const fields = { holder, incarnation: value.incarnation, released, ...named, earlier, kinds: [...kinds.values()] };
+  return { ...value.rest, ...fields };
 }
 
 /**
@@ -92,8 +100,12 @@
   return earlier;
 }
 
+/**
+ * null: this program can't read it. That says nothing about the shard: another release may hold it, and machines
+ * and jobs of it may be at work. Only a key that is not there at all is a shard that nobody ever held.
+ */
 export function decodeShard(value: unknown): ShardValue | null {
-  if (!isObject(value)) return null;
+  if (!isObject(value) || isForeign(value, SHARD_FORMAT)) return null;
   const holder = asString(value['holder']);
   const life = asString(value['incarnation']);
   const next = asString(value['next']);
@@ -117,6 +129,7 @@
     next: next === undefined ? null : nodeName(next),
     earlier: decodeEarlier(value['earlier']),
     machines,
+    rest: unknownFields(value, KNOWN),
   };
 }
 
--- a/src/peers/codec.ts
+++ b/src/peers/codec.ts
@@ -1,5 +1,10 @@
-/** Frames by hand: u32 length, u8 version, u8 kind, payload. Every length is checked on reading. */
-export const VERSION = 2;
+/**
+ * Frames by hand: u32 length, u8 version, u8 kind, payload. Every length is checked on reading. In version 2 a payload
+ * is exactly its fields. From version 3 on the payload and each item of a list is a record, its length before it: a
+ * reader takes the fields that it knows and skips what a later release has put behind them.
+ */
+export const OLDEST_VERSION = 2;
+export const VERSION = 3;
 export const MAX_FRAME = 512 * 1024;
 const MAX_TEXT = 200 * 1024;
 const MAX_ITEMS = 20_000;
@@ -10,11 +15,32 @@
   private buffer = Buffer.allocUnsafe(256);
   private at = 4;
 
-  constructor(kind: number) {
-    this.u8(VERSION);
+  constructor(
+    kind: number,
+    readonly version: number,
+  ) {
+    this.u8(version);
     this.u8(kind);
   }
 
+  /** Fields of one record; those that only a later version has are written where `extends` is true. */
+  record(write: () => void): this {
+    if (!this.extends) {
+      write();
+      return this;
+    }
+    this.u32(0);
+    const from = this.at;
+    write();
+    this.buffer.writeUInt32BE(this.at - from, from - 4);
+    return this;
+  }
+
+  /** May fields stand behind those of version 2? */
+  get extends(): boolean {
+    return this.version > OLDEST_VERSION;
+  }
+
   private room(bytes: number): void {
     if (this.at + bytes <= this.buffer.length) return;
     const grown = Buffer.allocUnsafe(Math.max(this.buffer.length * 2, this.at + bytes));
@@ -58,7 +84,15 @@
   items<T>(list: readonly T[], write: (item: T) => void): this {
     const kept = list.slice(0, MAX_ITEMS);
     this.u32(kept.length);
-    kept.forEach(write);
+    for (const item of kept) this.record(() => write(item));
+    return this;
+  }
+
+  /** Names alone: nothing will ever stand behind each of them. */
+  texts(list: readonly string[]): this {
+    const kept = list.slice(0, MAX_ITEMS);
+    this.u32(kept.length);
+    for (const text of kept) this.text(text);
     return this;
   }
 
@@ -71,17 +105,43 @@
 
 export class FrameReader {
   readonly kind: number;
+  readonly version: number;
   private at = 0;
+  private limit: number;
 
   constructor(private readonly frame: Buffer) {
-    const version = this.u8();
-    if (version !== VERSION) throw new FrameError(`unknown frame version ${version}`);
+    this.limit = frame.length;
+    this.version = this.u8();
     this.kind = this.u8();
   }
 
+  /** Is it of a version whose layout this program knows? */
+  get known(): boolean {
+    return this.version >= OLDEST_VERSION && this.version <= VERSION;
+  }
+
+  /** Reads one record; what stands behind the fields that were read is skipped. */
+  record<T>(read: () => T): T {
+    if (this.version === OLDEST_VERSION) return read();
+    const length = this.u32();
+    const outer = this.limit;
+    const end = this.at + length;
+    if (end > outer) throw new FrameError('record too long for its frame');
+    this.limit = end;
+    const value = read();
+    this.at = end;
+    this.limit = outer;
+    return value;
+  }
+
+  /** Are there fields behind those read so far? Earlier versions end there. */
+  get more(): boolean {
+    return this.version > OLDEST_VERSION && this.at < this.limit;
+  }
+
   private take(bytes: number): number {
     const from = this.at;
-    if (from + bytes > this.frame.length) throw new FrameError('frame too short');
+    if (from + bytes > this.limit) throw new FrameError('frame too short');
     this.at = from + bytes;
     return from;
   }
@@ -112,6 +172,14 @@
   }
 
   items<T>(read: () => T): T[] {
+    return this.list(() => this.record(read));
+  }
+
+  texts(): string[] {
+    return this.list(() => this.text());
+  }
+
+  private list<T>(read: () => T): T[] {
     const count = this.u32();
     if (count > MAX_ITEMS || count > this.frame.length) throw new FrameError('list too long');
     const list: T[] = [];
--- a/src/peers/link.ts
+++ b/src/peers/link.ts
@@ -10,7 +10,7 @@
   Runtime,
   Timer,
 } from '../kernel/index.js';
-import { FrameSplitter } from './codec.js';
+import { FrameSplitter, OLDEST_VERSION, VERSION } from './codec.js';
 import { decodeMessage, encodeMessage, type AskOp, type PeerCondition, type PeerMessage } from './messages.js';
 
 const MAX_BUFFERED = 2 * 1024 * 1024;
@@ -34,6 +34,17 @@
   readonly address: Address;
   socket: Connection | undefined;
   ready: boolean;
+  /**
+   * The frame version of this connection: the oldest until its other end has said on it what it reads. Learned by
+   * connection and not by node, because another release may answer at the same address a moment later.
+   */
+  version: number;
+}
+
+/** What a peer that was heard is, as far as this node knows. */
+export interface PeerView extends PeerStatus {
+  /** Of the frames that go to it now; null while there is no connection. */
+  readonly frames: number | null;
 }
 
 /** Frames between controllers. We send on connections that we opened and receive on the others'. */
@@ -46,6 +57,7 @@
   private incoming = 0;
   private nextAsk = 1;
   private timer: Timer | undefined;
+  private skipped = 0;
 
   constructor(
     private readonly self: NodeName,
@@ -56,7 +68,7 @@
     private readonly runtime: Runtime,
     private readonly log: Logger,
   ) {
-    this.peers = seeds.map((seed) => ({ ...seed, socket: undefined, ready: false }));
+    this.peers = seeds.map((seed) => ({ ...seed, socket: undefined, ready: false, version: OLDEST_VERSION }));
   }
 
   start(): void {
@@ -85,21 +97,37 @@
     return status && this.runtime.now() - status.heardAt <= withinMs ? status : null;
   }
 
+  /** Frames of a version or kind that this program doesn't know; each was skipped. */
+  get skippedFrames(): number {
+    return this.skipped;
+  }
+
+  /** All peers that were heard lately. */
+  views(): PeerView[] {
+    return this.peers.flatMap((peer) => {
+      const status = this.statusOf(peer.node);
+      return status ? [{ ...status, frames: peer.ready ? peer.version : null }] : [];
+    });
+  }
+
   send(to: NodeName, message: PeerMessage): boolean {
     const peer = this.peers.find((p) => p.node === to);
     return peer !== undefined && this.write(peer, message);
   }
 
   broadcast(message: PeerMessage): void {
-    let frame: Buffer | undefined;
+    // Written once for each version that some peer reads.
+    const frames = new Map<number, Buffer | undefined>();
     for (const peer of this.peers) {
-      if (this.canWrite(peer)) this.write(peer, message, (frame ??= this.encode(message)));
+      if (!this.canWrite(peer)) continue;
+      if (!frames.has(peer.version)) frames.set(peer.version, this.encode(message, peer.version));
+      this.write(peer, message, frames.get(peer.version));
     }
   }
 
-  private encode(message: PeerMessage): Buffer | undefined {
+  private encode(message: PeerMessage, version: number): Buffer | undefined {
     try {
-      return encodeMessage(message);
+      return encodeMessage(message, version);
     } catch (error) {
       this.log.warn({ err: error, kind: message.kind }, 'a frame could not be written');
       return undefined;
@@ -132,7 +160,7 @@
     this.broadcast(this.hello());
   }
 
-  private write(peer: Outgoing, message: PeerMessage, frame = this.encode(message)): boolean {
+  private write(peer: Outgoing, message: PeerMessage, frame = this.encode(message, peer.version)): boolean {
     if (!frame || !this.canWrite(peer)) return false;
     peer.socket?.write(frame);
     return true;
@@ -149,9 +177,14 @@
     return { kind: 'hello', node: this.self, incarnation: this.incarnation, ...this.condition() };
   }
 
+  private welcome(): PeerMessage {
+    return { kind: 'welcome', node: this.self, incarnation: this.incarnation, frames: VERSION };
+  }
+
   private open(peer: Outgoing): void {
     const socket = this.runtime.connect(peer.address);
     peer.socket = socket;
+    peer.version = OLDEST_VERSION;
     const timer = this.runtime.after(CONNECT_TIMEOUT_MS, () => socket.destroy());
     socket.on('connect', () => {
       timer.cancel();
@@ -166,45 +199,58 @@
     });
     // A peer that was cut off leaves a connection that is silent for ever: nothing we wrote is taken.
     socket.setTimeout(15_000, () => socket.destroy());
-    socket.resume();
+    this.read(socket, peer.node, (message) => {
+      if (message.kind === 'welcome') peer.version = Math.max(OLDEST_VERSION, Math.min(VERSION, message.frames));
+    });
   }
 
-  private accept(socket: Connection): void {
-    if (this.incoming >= MAX_INCOMING) {
-      socket.destroy();
-      return;
-    }
-    this.incoming += 1;
+  /** Takes in frames; what is malformed costs no more than this connection, what is unknown nothing. */
+  private read(socket: Connection, from: NodeName | undefined, take: (message: PeerMessage) => void): void {
     const splitter = new FrameSplitter();
-    let from: NodeName | undefined;
+    let skipped = 0;
+    let name = from;
     socket.on('data', (chunk: Buffer) => {
       try {
         for (const frame of splitter.push(chunk)) {
           const message = decodeMessage(frame);
-          if (message.kind === 'hello') {
-            from = message.node;
-            this.status.set(from, {
-              node: from,
-              incarnation: message.incarnation,
-              stateOk: message.stateOk,
-              fit: message.fit,
-              heardAt: this.runtime.now(),
-            });
+          if (message === null) {
+            this.skipped += 1;
+            if (skipped++ === 0)
+              this.log.info({ from: name, version: frame[0], kind: frame[1] }, 'a frame of a later release is skipped');
+            continue;
           }
-          if (from === undefined) throw new Error('a frame before the greeting');
-          if (message.kind === 'answer') {
-            this.waiting.get(message.id)?.({ status: message.status, body: message.body });
-          } else this.received.next({ from, message });
+          if (message.kind === 'hello') name = message.node;
+          take(message);
         }
       } catch (error) {
-        // Whatever a peer sends, it costs no more than this connection.
         this.log.warn(
-          { reason: error instanceof Error ? error.message : String(error), from },
+          { reason: error instanceof Error ? error.message : String(error), from: name },
           'a malformed frame was refused',
         );
         socket.destroy();
       }
     });
+  }
+
+  private accept(socket: Connection): void {
+    if (this.incoming >= MAX_INCOMING) {
+      socket.destroy();
+      return;
+    }
+    this.incoming += 1;
+    let from: NodeName | undefined;
+    this.read(socket, from, (message) => {
+      if (message.kind === 'hello') {
+        if (from === undefined) socket.write(encodeMessage(this.welcome(), VERSION));
+        const { node, incarnation: life, stateOk, fit, leaving, release, features } = message;
+        const said = { node, incarnation: life, stateOk, fit, leaving, release, features };
+        from = node;
+        this.status.set(node, { ...said, heardAt: this.runtime.now() });
+      }
+      if (from === undefined) throw new Error('a frame before the greeting');
+      if (message.kind === 'answer') this.waiting.get(message.id)?.({ status: message.status, body: message.body });
+      else this.received.next({ from, message });
+    });
     socket.on('error', () => undefined);
     socket.on('close', () => {
       this.incoming -= 1;
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -69,10 +69,23 @@
   readonly stateOk: boolean;
   /** It reaches the workers, as far as it knows. */
   readonly fit: boolean;
+  /** It is about to be ended by its operator and takes nothing new. */
+  readonly leaving: boolean;
+  /** Grows with what a program speaks, stores and does; 1: from before there were releases. */
+  readonly release: number;
+  readonly features: readonly string[];
 }
 
+/** What a greeting of version 2 says of whoever sends it. */
+const OLDEST: Pick<PeerCondition, 'leaving' | 'release' | 'features'> = { leaving: false, release: 1, features: [] };
+
 export type PeerMessage =
   | ({ readonly kind: 'hello'; readonly node: NodeName; readonly incarnation: Incarnation } & PeerCondition)
+  /**
+   * The first thing that whoever accepts a connection says on it: up to which frame version it reads. Programs that
+   * know version 2 alone never look at what comes back on a connection that they opened.
+   */
+  | { readonly kind: 'welcome'; readonly node: NodeName; readonly incarnation: Incarnation; readonly frames: number }
   | { readonly kind: 'summary'; readonly summary: ShardSummary }
   | { readonly kind: 'cancelled'; readonly job: JobId }
   /** The leader asks a holder to lease an empty machine to another shard; null: to let it go. */
@@ -91,15 +104,34 @@
   answer: 6,
   standdown: 7,
   stooddown: 8,
+  welcome: 9,
 } as const;
 
+const KNOWN_KINDS: ReadonlySet<number> = new Set(Object.values(Kind));
+
 const flags = (...bits: boolean[]): number => bits.reduce((sum, bit, i) => sum | (bit ? 1 << i : 0), 0);
 
-export function encodeMessage(m: PeerMessage): Buffer {
-  const w = new FrameWriter(Kind[m.kind]);
+/** Writes a frame of a version that its reader is known to read. */
+export function encodeMessage(m: PeerMessage, version: number): Buffer {
+  const w = new FrameWriter(Kind[m.kind], version);
+  return w.record(() => encodeFields(m, w)).finish();
+}
+
+function encodeFields(m: PeerMessage, w: FrameWriter): FrameWriter {
   switch (m.kind) {
     case 'hello':
-      return w.text(m.node).text(m.incarnation).u8(flags(m.stateOk, m.fit)).finish();
+      // Version 2 has no word for leaving: whoever is not fit is given nothing either.
+      if (!w.extends)
+        return w
+          .text(m.node)
+          .text(m.incarnation)
+          .u8(flags(m.stateOk, m.fit && !m.leaving));
+      w.text(m.node)
+        .text(m.incarnation)
+        .u8(flags(m.stateOk, m.fit, m.leaving));
+      return w.u32(m.release).texts(m.features);
+    case 'welcome':
+      return w.text(m.node).text(m.incarnation).u8(m.frames);
     case 'summary': {
       const s = m.summary;
       w.text(s.shard).text(s.holder);
@@ -108,7 +140,7 @@
         w.f64(x.freeCpus).f64(x.freeGpus).f64(x.freeMemoryGb).f64(x.idleMs);
         w.f64(x.yieldCpus).f64(x.yieldMemoryGb);
         w.u8(flags(x.spot, x.empty, x.usable, x.lost, x.faulty));
-        w.items(x.images, (image) => w.text(image));
+        w.texts(x.images);
       });
       w.items(s.demand, (d) =>
         w
@@ -122,30 +154,37 @@
           .f64(d.gpus),
       );
       w.items(s.running, (r) => w.text(r.job).u32(r.running).u32(r.done));
-      return w.finish();
+      return w;
     }
     case 'cancelled':
-      return w.text(m.job).finish();
+      return w.text(m.job);
     case 'transfer':
-      return w
-        .text(m.machine)
-        .text(m.to ?? '')
-        .finish();
+      return w.text(m.machine).text(m.to ?? '');
     case 'ask':
-      return w.u32(m.id).u8(OPS.indexOf(m.op)).text(m.body).finish();
+      return w.u32(m.id).u8(OPS.indexOf(m.op)).text(m.body);
     case 'answer':
-      return w.u32(m.id).u16(m.status).text(m.body).finish();
+      return w.u32(m.id).u16(m.status).text(m.body);
     case 'standdown':
     case 'stooddown':
-      return w.text(m.shard).f64(m.version).finish();
+      return w.text(m.shard).f64(m.version);
   }
 }
 
-const condition = (bits: number): PeerCondition => ({ stateOk: (bits & 1) !== 0, fit: (bits & 2) !== 0 });
+function readCondition(r: FrameReader): PeerCondition {
+  const bits = r.u8();
+  const said = { stateOk: (bits & 1) !== 0, fit: (bits & 2) !== 0 };
+  if (!r.more) return { ...said, ...OLDEST };
+  return { ...said, leaving: (bits & 4) !== 0, release: r.u32(), features: r.texts() };
+}
 
-export function decodeMessage(frame: Buffer): PeerMessage {
+/**
+ * Reads a frame; null when its version or kind is not known here, which a later release may well send: it is skipped
+ * and costs nothing else. Throws a FrameError when what is known is malformed.
+ */
+export function decodeMessage(frame: Buffer): PeerMessage | null {
   const r = new FrameReader(frame);
-  const message = decodeFields(r);
+  if (!r.known || !KNOWN_KINDS.has(r.kind)) return null;
+  const message = r.record(() => decodeFields(r));
   r.end();
   return message;
 }
@@ -153,7 +192,9 @@
 function decodeFields(r: FrameReader): PeerMessage {
   switch (r.kind) {
     case Kind.hello:
-      return { kind: 'hello', node: nodeName(r.text()), incarnation: incarnation(r.text()), ...condition(r.u8()) };
+      return { kind: 'hello', node: nodeName(r.text()), incarnation: incarnation(r.text()), ...readCondition(r) };
+    case Kind.welcome:
+      return { kind: 'welcome', node: nodeName(r.text()), incarnation: incarnation(r.text()), frames: r.u8() };
     case Kind.summary: {
       const shard = shardName(r.text());
       const holder = nodeName(r.text());
@@ -179,7 +220,7 @@
           usable: (bits & 4) !== 0,
           lost: (bits & 8) !== 0,
           faulty: (bits & 16) !== 0,
-          images: r.items(() => r.text()),
+          images: r.texts(),
         };
       });
       const demand = r.items((): DemandSummary => ({
--- /dev/null
+++ b/src/rollout/release.ts
@@ -0,0 +1,59 @@
+import { asList, asString, isObject, type Incarnation } from '../kernel/index.js';
+import type { Fields } from '../state/index.js';
+
+/**
+ * What this program is, for controllers of other releases. It grows by one with every landing that changes what
+ * controllers say to one another or store. 1 is what says nothing of itself: the releases before this slice.
+ */
+export const RELEASE = 2;
+
+/** New behaviour that waits until every configured controller has it. */
+export interface Feature {
+  readonly name: string;
+  /** Features that must be on before it. */
+  readonly needs: readonly string[];
+}
+
+/**
+ * Features of this program, in the order in which they go on. Each must be harmless in the hands of a release that
+ * lacks it, for such a release can come back at any time: docs/rollout-design.md says how, one by one.
+ */
+export const GROUPED_PROGRESS = 'grouped-progress';
+export const FEATURES: readonly Feature[] = [{ name: GROUPED_PROGRESS, needs: [] }];
+
+/** What a controller's key says of its program. */
+export interface Announcement {
+  readonly incarnation: Incarnation;
+  readonly release: number;
+  readonly features: readonly string[];
+  /** The highest version of frames that it reads. */
+  readonly frames: number;
+  /** The highest version of each kind of record that it reads. */
+  readonly records: Readonly<Record<string, number>>;
+}
+
+/** The fields beside the incarnation, which the first release writes and reads alone. */
+export const encodeAnnouncement = (a: Omit<Announcement, 'incarnation'>): Fields => ({
+  release: { number: a.release, features: a.features, frames: a.frames, records: a.records },
+});
+
+const FIRST = { release: 1, features: [], frames: 2, records: {} };
+const count = (value: unknown, otherwise: number): number =>
+  typeof value === 'number' && Number.isInteger(value) && value > 0 ? value : otherwise;
+
+/** null: that key names no life of a controller. */
+export function decodeAnnouncement(value: unknown): Announcement | null {
+  const life = isObject(value) ? asString(value['incarnation']) : undefined;
+  if (!isObject(value) || life === undefined) return null;
+  const incarnation = life as Incarnation;
+  const said = value['release'];
+  if (!isObject(said)) return { incarnation, ...FIRST };
+  const records = Object.entries(isObject(said['records']) ? said['records'] : {});
+  return {
+    incarnation,
+    release: count(said['number'], FIRST.release),
+    features: asList(said['features']).filter((name) => typeof name === 'string'),
+    frames: count(said['frames'], FIRST.frames),
+    records: Object.fromEntries(records.map(([kind, version]) => [kind, count(version, 1)])),
+  };
+}
--- a/src/service/routes.ts
+++ b/src/service/routes.ts
@@ -79,7 +79,7 @@
     }
     for (const { summary } of this.summaries.values()) {
       const found = summary.running.find((r) => r.job === id);
-      if (found) return { running: found.running, done: 0 };
+      if (found) return { running: found.running, done: found.done };
     }
     return { running: 0, done: 0 };
   }
--- a/src/service/service.ts
+++ b/src/service/service.ts
@@ -1,8 +1,15 @@
-import { adminRouter, encodeSettings, SettingsStore, type TrailView } from '../admin/index.js';
+import {
+  adminRouter,
+  encodeSettings,
+  SETTINGS_FORMAT,
+  SettingsStore,
+  type RolloutDesk,
+  type TrailView,
+} from '../admin/index.js';
 import { CloudClient, type MachineType } from '../cloud/index.js';
 import type { Settings } from '../config/index.js';
 import { ShardHolder, type HolderDeps, type ReportReply } from '../holder/index.js';
-import { JobRegistry } from '../jobs/index.js';
+import { JOB_FORMAT, JobRegistry, PROGRESS_FORMAT } from '../jobs/index.js';
 import {
   incarnation,
   ReconcileLoop,
@@ -11,21 +18,41 @@
   type Incarnation,
   type Logger,
   type NodeName,
+  type Revision,
   type Runtime,
   type ShardName,
 } from '../kernel/index.js';
 import { Leader } from '../leasing/index.js';
-import { decodeShard, Membership, ShardDirectory } from '../membership/index.js';
-import { PeerLink, type PeerMessage, type Received } from '../peers/index.js';
-import { JOBS, LIVE, Mirror, shardKey, SHARDS, StateClient, TYPES, Urgency, type Change } from '../state/index.js';
+import { Membership, SHARD_FORMAT, ShardDirectory, type ShardValue } from '../membership/index.js';
+import { FRAME_VERSION, PeerLink, type PeerMessage, type Received } from '../peers/index.js';
+import {
+  Conductor,
+  encodeAnnouncement,
+  FEATURES,
+  GROUPED_PROGRESS,
+  RELEASE,
+  ROLLOUT_FORMAT,
+  Switches,
+} from '../rollout/index.js';
+import { JOBS, LIVE, Mirror, PROGRESS, SHARDS, StateClient, TYPES, Urgency, type Change } from '../state/index.js';
 import { encodeRedirect, probeWorkers, PROBES, Reach, type WorkerMessage } from '../workers/index.js';
 import { createApp, laneRoutes, listen, type Handlers, type Listener } from './http.js';
 import { Trail } from '../trail/index.js';
 import { ShardRoutes } from './routes.js';
+import { rolloutOverview } from './overview.js';
+import { Tenure } from './tenure.js';
 import { UserDesk } from './users.js';
 
+const FEATURE_NAMES = FEATURES.map(({ name }) => name);
+/** The newest version of each kind of record that this program reads. */
+const RECORDS = {
+  shard: SHARD_FORMAT,
+  job: JOB_FORMAT,
+  progress: PROGRESS_FORMAT,
+  settings: SETTINGS_FORMAT,
+  rollout: ROLLOUT_FORMAT,
+};
 const SUMMARY_EVERY_MS = 800;
-const HAND_BACK_AFTER_MS = 3000;
 /** While this node is cut off from the workers, it asks some again after so long. */
 const PROBE_AGAIN_MS = 800;
 const TYPES_EVERY_MS = 30_000;
@@ -55,10 +82,10 @@
   private readonly desk: UserDesk;
   private readonly leader: Leader;
   private readonly directory: ShardDirectory;
-  private readonly holders = new Map<ShardName, ShardHolder>();
+  private readonly tenure: Tenure;
+  private readonly conductor: Conductor;
+  private readonly switches: Switches;
   private readonly routes: ShardRoutes;
-  private readonly ousted = new Map<ShardName, number>();
-  private readonly homeSince = new Map<ShardName, number>();
   private readonly ownShard: ShardName;
   private types = new Map<string, MachineType>();
   private readonly reach: Reach;
@@ -91,10 +118,22 @@
       this.incarnation,
       settings.peerOn,
       settings.seeds,
-      () => ({ stateOk: this.state.available && this.mirror.loaded, fit: this.fit }),
+      () => ({
+        ...{ stateOk: this.state.available && this.mirror.loaded, fit: this.reach.ok },
+        ...{ leaving: this.tenure.leaving, release: RELEASE, features: FEATURE_NAMES },
+      }),
       runtime,
       log,
     );
+    this.switches = new Switches(this.mirror, new Set(FEATURE_NAMES));
+    this.tenure = new Tenure({
+      ...{ self: settings.node, incarnation: this.incarnation, own: this.ownShard, state: this.state },
+      ...{ mirror: this.mirror, peers: this.peers, directory: this.directory, runtime, log, trail: this.trail },
+      membership: () => this.membership,
+      reaches: () => this.reach.ok,
+      make: (shard, version, value) => this.makeHolder(shard, version, value),
+      dropped: (shard) => this.routes.forget(shard),
+    });
     this.membership = new Membership(
       settings.node,
       settings.seeds.map((seed) => seed.node),
@@ -103,9 +142,13 @@
       this.mirror,
       this.directory,
       {
-        held: () => [...this.holders.keys()],
-        verify: () => this.verifyShards(),
-        mayClaim: () => this.fit || !this.peers.names.some((peer) => this.isFit(peer)),
+        held: () => [...this.tenure.holders.keys()],
+        verify: () => this.tenure.verify(),
+        mayClaim: () =>
+          this.tenure.mayTake && (this.reach.ok || !this.peers.names.some((peer) => this.tenure.isFit(peer))),
+        mayLead: () => this.tenure.mayTake,
+        announcement: () =>
+          encodeAnnouncement({ release: RELEASE, features: FEATURE_NAMES, frames: FRAME_VERSION, records: RECORDS }),
       },
       runtime,
       log,
@@ -114,7 +157,7 @@
       self: settings.node,
       clock: runtime,
       teams: settings.teams,
-      holders: this.holders,
+      holders: this.tenure.holders,
       own: this.ownShard,
       shards: () => this.membership.shards,
       types: () => this.types,
@@ -133,6 +176,11 @@
       runtime,
       log,
     );
+    this.conductor = new Conductor({
+      ...{ self: settings.node, features: FEATURES, state: this.state, mirror: this.mirror, runtime, log },
+      nodes: [settings.node, ...settings.seeds.map((seed) => seed.node)].sort(),
+      leading: () => this.membership.leading,
+    });
     this.settingsStore = new SettingsStore(this.state, this.mirror);
     this.desk = new UserDesk(
       this.registry,
@@ -164,7 +212,7 @@
       runtime,
       log,
       () => {
-        for (const holder of this.holders.values()) holder.round();
+        for (const holder of this.tenure.holders.values()) holder.round();
       },
       100,
       // A report that waits for a plan is worse than a plan that waits for a report.
@@ -177,7 +225,12 @@
     this.mirror.changes.subscribe((change) => this.onChange(change));
     this.peers.received.subscribe((received) => this.onPeer(received));
     this.peers.start();
-    const admin = adminRouter(this.settingsStore, () => this.status(), this.trail && this.trailView(this.trail));
+    const admin = adminRouter(
+      this.settingsStore,
+      () => this.status(),
+      this.rolloutDesk(),
+      this.trail && this.trailView(this.trail),
+    );
     this.trail?.note({ kind: 'up' });
     const handlers: Handlers = {
       healthy: () => this.healthy(),
@@ -205,7 +258,7 @@
   /** Ends this controller as a crash would: nothing is handed over. */
   stop(): void {
     for (const loop of this.loops) loop.stop();
-    for (const holder of this.holders.values()) holder.drop();
+    for (const holder of this.tenure.holders.values()) holder.drop();
     this.mirror.stop();
     this.peers.stop();
     this.server?.shut();
@@ -216,11 +269,14 @@
     if (!this.mirror.loaded) return;
     await this.membership.elect();
     await this.membership.claim();
-    await this.reviewShards();
+    await this.tenure.review();
+    await this.conductor.round();
   }
 
   private healthy(): boolean {
     if (!this.mirror.loaded || !this.membership.registered) return false;
+    // Users go elsewhere before this node is ended.
+    if (this.tenure.leaving) return false;
     if (this.state.available) return true;
     // In an outage that hits all, nodes stay healthy: coming back after a removal is slow.
     return !this.peers.names.some((node) => this.peers.statusOf(node)?.stateOk === true);
@@ -230,45 +286,25 @@
 
   private onChange(change: Change): void {
     if (change.key.startsWith(JOBS)) {
-      for (const holder of this.holders.values()) holder.onJob(change);
-    } else if (change.key.startsWith(SHARDS)) this.onShard(change);
+      for (const holder of this.tenure.holders.values()) holder.onJob(change);
+    } else if (change.key.startsWith(SHARDS)) this.tenure.onShard(change);
+    else if (change.key.startsWith(PROGRESS))
+      this.tenure.holders.get(shardName(change.key.slice(PROGRESS.length)))?.onProgress(change);
     else if (change.key === TYPES && Array.isArray(change.value)) this.takeTypes(change.value as MachineType[]);
   }
 
-  private onShard(change: Change): void {
-    const shard = shardName(change.key.slice(SHARDS.length));
-    const value = change.removed ? null : decodeShard(change.value);
-    const mine =
-      value !== null &&
-      value.holder === this.settings.node &&
-      value.incarnation === this.incarnation &&
-      !value.released &&
-      change.version >= (this.ousted.get(shard) ?? 0);
-    const holder = this.holders.get(shard);
-    if (!mine) {
-      if (holder) this.dropShard(shard, holder);
-    } else if (holder) holder.onShard(value, change.version);
-    else {
-      this.trail?.note({ kind: 'claimed', shard });
-      const previous = this.membership.previousOf(shard);
-      const last = this.routes.last(shard)?.machines ?? [];
-      const faulty = last.filter((machine) => machine.faulty).map((machine) => machine.id);
-      this.holders.set(shard, new ShardHolder(shard, change.version, value, previous, faulty, this.holderDeps()));
-      this.rounds.nudge();
-    }
-  }
-
-  private dropShard(shard: ShardName, holder: ShardHolder): void {
-    this.log.info({ shard }, 'this node holds the shard no more');
-    holder.drop();
-    this.holders.delete(shard);
-    this.routes.forget(shard);
-    this.trail?.note({ kind: 'dropped', shard });
+  private makeHolder(shard: ShardName, version: Revision, value: ShardValue): ShardHolder {
+    const previous = this.membership.previousOf(shard);
+    const last = this.routes.last(shard)?.machines ?? [];
+    const faulty = last.filter((machine) => machine.faulty).map((machine) => machine.id);
+    this.rounds.nudge();
+    return new ShardHolder(shard, version, value, previous, faulty, this.holderDeps());
   }
 
   private holderDeps(): HolderDeps {
     return {
       self: this.settings.node,
+      incarnation: this.incarnation,
       settings: this.settings,
       state: this.state,
       mirror: this.mirror,
@@ -281,36 +317,17 @@
       operator: () => this.settingsStore.current,
       heldUntil: () => this.membership.heldUntilAtLeast,
       certain: () => this.membership.certain,
+      grouped: () => this.switches.on(GROUPED_PROGRESS),
       nudge: () => this.rounds.nudge(),
       heard: () => this.reach.heard(),
       roomElsewhere: (from, spec, count) => this.routes.elsewhere(from, spec, count),
     };
   }
 
-  private isFit(node: NodeName): boolean {
-    const status = this.peers.statusOf(node);
-    return status !== null && status.stateOk && status.fit;
-  }
-
-  private get fit(): boolean {
-    return this.reach.ok;
-  }
-
-  /** Of the peers that can serve a shard, the one that holds fewest. */
-  private fittestPeer(): NodeName | null {
-    const load = (node: NodeName): number => {
-      let held = 0;
-      for (const { value } of this.directory.all.values()) if (value.holder === node && !value.released) held += 1;
-      return held;
-    };
-    const fit = this.peers.names.filter((peer) => this.isFit(peer));
-    return fit.sort((a, b) => load(a) - load(b) || (a < b ? -1 : 1))[0] ?? null;
-  }
-
   /** One round: are the workers within reach? */
   private async checkReach(): Promise<void> {
     let machines = 0;
-    for (const holder of this.holders.values()) machines += holder.machines.size;
+    for (const holder of this.tenure.holders.values()) machines += holder.machines.size;
     const { reportMs } = this.settings.workers;
     if (this.reach.look(this.runtime.now(), machines, reportMs) === 'nothing') return;
     const addresses = this.someAddresses();
@@ -328,7 +345,7 @@
   /** Some machines of our blocks; of all, when we have none. */
   private someAddresses(): string[] {
     const known = [...this.directory.all].flatMap(([shard, { value }]) =>
-      this.holders.size === 0 || this.holders.has(shard) ? value.machines : [],
+      this.tenure.holders.size === 0 || this.tenure.holders.has(shard) ? value.machines : [],
     );
     const chosen = new Set<string>();
     for (let i = 0; i < PROBES && known.length > 0; i++)
@@ -337,53 +354,11 @@
     return [...chosen];
   }
 
-  /** Reads afresh whether the shards are still ours; false when that could not be read. */
-  private async verifyShards(): Promise<boolean> {
-    let all = true;
-    for (const shard of [...this.holders.keys()]) {
-      const read = await this.state.get(shardKey(shard));
-      if (read.kind === 'unavailable') all = false;
-      if (read.kind !== 'found') continue;
-      const { key, value, version } = read.entry;
-      this.mirror.apply({ key, value, removed: false, version });
-    }
-    return all;
-  }
-
-  private async reviewShards(): Promise<void> {
-    const now = this.runtime.now();
-    for (const [shard, holder] of this.holders) {
-      for (const { node, incarnation: life } of holder.doubtful) {
-        const heard = this.peers.statusOf(node)?.incarnation ?? this.membership.alive(node);
-        // A later life of that node proves that the earlier one has ended.
-        if (heard !== null && heard !== life) holder.proven(node);
-        else this.peers.send(node, { kind: 'standdown', shard, version: holder.claimedAt });
-      }
-      const better = this.reach.ok ? null : this.fittestPeer();
-      if (better !== null) {
-        await holder.giveUp('this node cannot reach the workers', better);
-        continue;
-      }
-      if (shard === this.ownShard) continue;
-      const home = shard as unknown as NodeName;
-      const life = this.membership.alive(home);
-      const up = life !== null && this.isFit(home);
-      if (!up) this.homeSince.delete(shard);
-      else {
-        const since = this.homeSince.get(shard) ?? now;
-        this.homeSince.set(shard, since);
-        if (now - since > HAND_BACK_AFTER_MS && holder.quiet && (await holder.giveUp('its own node is back'))) {
-          this.homeSince.delete(shard);
-        }
-      }
-    }
-  }
-
   // ---- workers
 
   private onReport(message: WorkerMessage): ReportReply {
     this.reach.heard();
-    for (const holder of this.holders.values()) {
+    for (const holder of this.tenure.holders.values()) {
       if (holder.machines.has(message.machine)) return holder.onReport(message);
     }
     const shard = this.directory.shardOf(message.machine);
@@ -405,30 +380,26 @@
         this.routes.note(message.summary);
         break;
       case 'cancelled':
-        for (const holder of this.holders.values()) void holder.onCancelled(message.job);
+        for (const holder of this.tenure.holders.values()) void holder.onCancelled(message.job);
         break;
       case 'transfer':
-        for (const holder of this.holders.values()) holder.transfer(message.machine, message.to);
+        for (const holder of this.tenure.holders.values()) holder.transfer(message.machine, message.to);
         break;
       case 'ask':
         void this.desk.onAsk(message.op, message.body).then((answer) => {
           this.peers.send(from, { kind: 'answer', id: message.id, ...answer });
         });
         break;
-      case 'standdown': {
-        const holder = this.holders.get(message.shard);
-        if (holder && holder.claimedAt >= message.version) break;
-        this.ousted.set(message.shard, message.version);
-        if (holder) this.dropShard(message.shard, holder);
-        this.peers.send(from, { kind: 'stooddown', shard: message.shard, version: message.version });
+      case 'standdown':
+        this.tenure.standDown(from, message.shard, message.version);
         break;
-      }
       case 'stooddown': {
-        const holder = this.holders.get(message.shard);
+        const holder = this.tenure.holders.get(message.shard);
         if (holder?.claimedAt === message.version) holder.proven(from);
         break;
       }
       case 'hello':
+      case 'welcome':
       case 'answer':
         break;
     }
@@ -441,7 +412,7 @@
 
   private publish(): void {
     this.state.writers = Math.max(1, this.membership.aliveCount);
-    for (const holder of this.holders.values()) {
+    for (const holder of this.tenure.holders.values()) {
       const summary = holder.summary();
       this.routes.note(summary);
       this.peers.broadcast({ kind: 'summary', summary });
@@ -482,13 +453,39 @@
     };
   }
 
+  private rolloutDesk(): RolloutDesk {
+    const { conductor, tenure, switches } = this;
+    return {
+      clock: this.runtime,
+      features: () =>
+        new Map(
+          FEATURE_NAMES.map((name) => {
+            const { state = 'off', finished = false } = switches.state.features.get(name) ?? {};
+            return [name, { state, finished }];
+          }),
+        ),
+      overview: () =>
+        rolloutOverview({
+          ...{ self: this.settings.node, shards: this.membership.shards, directory: this.directory },
+          ...{ peers: this.peers, conductor, switches, tenure, paused: conductor.paused },
+        }),
+      wish: (how) => conductor.wish(how),
+      leave: () => tenure.leave(),
+      stay: () => tenure.stay('an operator wants it to stay'),
+      leaving: () => {
+        const { leaving, left, staysInMs } = tenure;
+        return { leaving, left, staysInS: staysInMs === null ? null : staysInMs / 1000 };
+      },
+    };
+  }
+
   private status(): unknown {
     return {
       node: this.settings.node,
       incarnation: this.incarnation,
       leader: this.membership.leader,
       stateAvailable: this.state.available,
-      shards: [...this.holders.values()].map((holder) => holder.summary()),
+      shards: [...this.tenure.holders.values()].map((holder) => holder.summary()),
     };
   }
 }
--- /dev/null
+++ b/src/service/tenure.ts
@@ -0,0 +1,193 @@
+import type { ShardHolder } from '../holder/index.js';
+import {
+  millis,
+  shardName,
+  type Incarnation,
+  type Logger,
+  type Millis,
+  type NodeName,
+  type Revision,
+  type Runtime,
+  type ShardName,
+} from '../kernel/index.js';
+import { decodeShard, type Membership, type ShardDirectory, type ShardValue } from '../membership/index.js';
+import type { PeerLink } from '../peers/index.js';
+import { shardKey, SHARDS, type Change, type Mirror, type StateClient } from '../state/index.js';
+import type { Trail } from '../trail/index.js';
+
+const HAND_BACK_AFTER_MS = 3000;
+/** Whoever asked this node to leave should have ended it by then: it takes part again. */
+const LEAVING_FOR_MS = 60_000;
+
+export interface TenureDeps {
+  readonly self: NodeName;
+  readonly incarnation: Incarnation;
+  readonly own: ShardName;
+  readonly state: StateClient;
+  readonly mirror: Mirror;
+  readonly peers: PeerLink;
+  readonly directory: ShardDirectory;
+  readonly runtime: Runtime;
+  readonly log: Logger;
+  readonly trail: Trail | null;
+  membership(): Membership;
+  /** This node reaches the workers. */
+  reaches(): boolean;
+  make(shard: ShardName, version: Revision, value: ShardValue): ShardHolder;
+  /** A shard is held here no more. */
+  dropped(shard: ShardName): void;
+}
+
+export type LeaveAnswer = { readonly ok: true } | { readonly ok: false; readonly reason: string };
+
+/** Which shards this node holds: taking them up, handing them on and back, and leaving before a planned end. */
+export class Tenure {
+  readonly holders = new Map<ShardName, ShardHolder>();
+  private readonly ousted = new Map<ShardName, number>();
+  private readonly homeSince = new Map<ShardName, Millis>();
+  private leavingSince: Millis | null = null;
+
+  constructor(private readonly deps: TenureDeps) {}
+
+  onShard(change: Change): void {
+    const shard = shardName(change.key.slice(SHARDS.length));
+    const value = change.removed ? null : decodeShard(change.value);
+    const mine =
+      value !== null &&
+      value.holder === this.deps.self &&
+      value.incarnation === this.deps.incarnation &&
+      !value.released &&
+      change.version >= (this.ousted.get(shard) ?? 0);
+    const holder = this.holders.get(shard);
+    if (!mine) {
+      if (holder) this.drop(shard, holder);
+    } else if (holder) holder.onShard(value, change.version);
+    else {
+      this.deps.trail?.note({ kind: 'claimed', shard });
+      this.holders.set(shard, this.deps.make(shard, change.version, value));
+    }
+  }
+
+  private drop(shard: ShardName, holder: ShardHolder): void {
+    this.deps.log.info({ shard }, 'this node holds the shard no more');
+    holder.drop();
+    this.holders.delete(shard);
+    this.deps.dropped(shard);
+    this.deps.trail?.note({ kind: 'dropped', shard });
+  }
+
+  /** Somebody has claimed a shard in this version and asks that we command nothing there any more. */
+  standDown(from: NodeName, shard: ShardName, version: number): void {
+    const holder = this.holders.get(shard);
+    if (holder && holder.claimedAt >= version) return;
+    this.ousted.set(shard, version);
+    if (holder) this.drop(shard, holder);
+    this.deps.peers.send(from, { kind: 'stooddown', shard, version });
+  }
+
+  /** Reads afresh whether the shards are still ours; false when that could not be read. */
+  async verify(): Promise<boolean> {
+    let all = true;
+    for (const shard of [...this.holders.keys()]) {
+      const read = await this.deps.state.get(shardKey(shard));
+      if (read.kind === 'unavailable') all = false;
+      if (read.kind !== 'found') continue;
+      const { key, value, version } = read.entry;
+      this.deps.mirror.apply({ key, value, removed: false, version });
+    }
+    return all;
+  }
+
+  isFit(node: NodeName): boolean {
+    const status = this.deps.peers.statusOf(node);
+    return status !== null && status.stateOk && status.fit && !status.leaving;
+  }
+
+  /** May this node take shards up, or lead? Not while it is leaving and others can. */
+  get mayTake(): boolean {
+    return !this.leaving || !this.deps.peers.names.some((peer) => this.isFit(peer));
+  }
+
+  /** Of the peers that can serve a shard, the one that holds fewest. */
+  private fittestPeer(): NodeName | null {
+    const load = (node: NodeName): number => {
+      let held = 0;
+      for (const { value } of this.deps.directory.all.values()) if (value.holder === node && !value.released) held += 1;
+      return held;
+    };
+    const fit = this.deps.peers.names.filter((peer) => this.isFit(peer));
+    return fit.sort((a, b) => load(a) - load(b) || (a < b ? -1 : 1))[0] ?? null;
+  }
+
+  /** One round: who has to stand down, and what is handed on or back. */
+  async review(): Promise<void> {
+    const { peers, runtime } = this.deps;
+    const now = runtime.now();
+    if (this.leavingSince !== null && now - this.leavingSince > LEAVING_FOR_MS) this.stay('nobody has ended this node');
+    for (const [shard, holder] of this.holders) {
+      for (const { node, incarnation: life } of holder.doubtful) {
+        const heard = peers.statusOf(node)?.incarnation ?? this.deps.membership().alive(node);
+        // A later life of that node proves that the earlier one has ended.
+        if (heard !== null && heard !== life) holder.proven(node);
+        else peers.send(node, { kind: 'standdown', shard, version: holder.claimedAt });
+      }
+      const why = this.leaving ? 'this node is about to be ended' : this.deps.reaches() ? null : CUT_OFF;
+      const better = why === null ? null : this.fittestPeer();
+      if (why !== null && better !== null) {
+        await holder.giveUp(why, better);
+        continue;
+      }
+      if (shard !== this.deps.own) await this.handBack(shard, holder, now);
+    }
+  }
+
+  private async handBack(shard: ShardName, holder: ShardHolder, now: Millis): Promise<void> {
+    const home = shard as unknown as NodeName;
+    if (this.deps.membership().alive(home) === null || !this.isFit(home)) {
+      this.homeSince.delete(shard);
+      return;
+    }
+    const since = this.homeSince.get(shard) ?? now;
+    this.homeSince.set(shard, since);
+    if (now - since > HAND_BACK_AFTER_MS && holder.quiet && (await holder.giveUp('its own node is back')))
+      this.homeSince.delete(shard);
+  }
+
+  // ---- leaving
+
+  get leaving(): boolean {
+    return this.leavingSince !== null;
+  }
+
+  /** Everything is handed on: this node may be ended, and nobody has to wait for a lease. */
+  get left(): boolean {
+    return this.leaving && this.holders.size === 0 && this.deps.membership().leading === null;
+  }
+
+  /** An operator is about to end this node: its shards go to peers, it takes nothing new and leads no more. */
+  leave(): LeaveAnswer {
+    if (this.fittestPeer() === null) return { ok: false, reason: 'no other controller can take its shards now' };
+    if (!this.leaving) {
+      this.deps.log.info({ shards: [...this.holders.keys()] }, 'an operator is about to end this node: it leaves');
+      this.leavingSince = this.deps.runtime.now();
+      this.deps.peers.greet();
+    }
+    return { ok: true };
+  }
+
+  /** It is not ended after all. */
+  stay(why: string): void {
+    if (!this.leaving) return;
+    this.leavingSince = null;
+    this.deps.log.info({ why }, 'this node stays and takes part again');
+    this.deps.peers.greet();
+  }
+
+  /** Milliseconds until it takes part again by itself; null: it isn't leaving. */
+  get staysInMs(): Millis | null {
+    if (this.leavingSince === null) return null;
+    return millis(Math.max(0, this.leavingSince + LEAVING_FOR_MS - this.deps.runtime.now()));
+  }
+}
+
+const CUT_OFF = 'this node cannot reach the workers';
--- a/src/state/index.ts
+++ b/src/state/index.ts
@@ -2,4 +2,5 @@
 export * from './keys.js';
 export * from './mirror.js';
 export type { Change, Entry, Guard, Op } from './wire.js';
+export * from './format.js';
 export * from './freshness.js';
--- a/src/state/keys.ts
+++ b/src/state/keys.ts
@@ -11,8 +11,14 @@
 export const LEADER = 'live/leader';
 export const SETTINGS = 'live/settings';
 export const TYPES = 'live/types';
+/** What a holder knows to be done beyond what its jobs' own records say, one key for each shard. */
+export const PROGRESS = 'live/progress/';
+/** Which features are on, and what operators want of them. Releases from before there were any ignore both. */
+export const ROLLOUT_STATE = 'live/rollout/state';
+export const ROLLOUT_WISHES = 'live/rollout/wishes';
 
 export const jobKey = (id: JobId): string => `${JOBS}${id}`;
 export const finalKey = (id: JobId): string => `finals/${id}`;
 export const shardKey = (name: ShardName): string => `${SHARDS}${name}`;
+export const progressKey = (name: ShardName): string => `${PROGRESS}${name}`;
 export const nodeKey = (name: NodeName): string => `${NODES}${name}`;
