Rolls, switches and ways back are played with whole controllers, frozen ones among them

Found by the model and mended: ends of controllers from before a switch counted against it. A tool whose reader goes away ends quietly; no "default: null" in the help.

--- a/packages/region/src/cli/command.ts
+++ b/packages/region/src/cli/command.ts
@@ -1,11 +1,12 @@
-import { mkdirSync, readFileSync, writeFileSync } from 'node:fs';
-import { basename, join } from 'node:path';
+import { mkdirSync, readFileSync, realpathSync, writeFileSync } from 'node:fs';
+import { basename, dirname, join } from 'node:path';
 import { SingleBar, Presets } from 'cli-progress';
-import { Command, InvalidArgumentError } from 'commander';
+import { Command, InvalidArgumentError, Option } from 'commander';
 import { createLogger } from '../../../../src/kernel/index.js';
 import { readDay, type Day } from '../day/index.js';
 import { hunt, playOnce, writeDay } from '../hunt/index.js';
-import { ENDED, measureRecovery, measureSpeed } from '../measure/index.js';
+import { ENDED, measureChanges, measureRecovery, measureRoll, measureSpeed, rollsOf } from '../measure/index.js';
+import { Releases } from '../releases/index.js';
 import { Region, type DayResult } from '../region.js';
 import { dayPage, dayTable } from '../report/index.js';
 import { settingsFor } from '../settings.js';
@@ -14,6 +15,10 @@
 /** The days that ship with the package, as TOML by name; put in when the bundle is made. */
 declare const SHIPPED_DAYS: Readonly<Record<string, string>>;
 
+/** Controllers of earlier releases, kept in the repository beside the bundle. */
+const releases = (): Releases =>
+  new Releases(join(dirname(realpathSync(process.argv[1] ?? '.')), '..', 'packages', 'region', 'frozen'));
+
 /** What was asked for is not there, or makes no sense. */
 export class UsageError extends Error {}
 
@@ -77,6 +82,7 @@
   const logs: string[] = [];
   const region = new Region({
     day,
+    releases: releases(),
     ...(flags.seed === undefined ? {} : { seed: flags.seed }),
     ...(flags.out === undefined ? {} : { event: (line: string) => events.push(line) }),
     ...(flags.log === undefined
@@ -152,15 +158,20 @@
   readonly minutes: number;
   readonly seed: number;
   readonly out: string;
+  readonly mixed?: string;
 }
 
 async function huntFor(given: string, flags: HuntFlags): Promise<void> {
   const day = loadDay(given);
+  const known = releases();
+  if (flags.mixed !== undefined) known.of(flags.mixed);
   const until = performance.now() + flags.minutes * 60_000;
   const found = await hunt(day, {
     seed: flags.seed,
     goOn: () => performance.now() < until,
     told: (line) => process.stderr.write(`${line}\n`),
+    releases: known,
+    ...(flags.mixed === undefined ? {} : { mixed: flags.mixed }),
   });
   if (!found) {
     process.stdout.write('no rule was broken\n');
@@ -169,7 +180,7 @@
   mkdirSync(flags.out, { recursive: true });
   const file = join(flags.out, `${basename(found.day.name)}-${found.day.seed}.toml`);
   writeFileSync(file, writeDay(found.day));
-  const again = await playOnce(found.day);
+  const again = await playOnce(found.day, known);
   process.stdout.write(`${dayTable(again)}\n\nshrunk to ${found.day.troubles.length} troubles: ${file}\n`);
   process.exitCode = 1;
 }
@@ -188,7 +199,11 @@
   .description('play a day in simulated time and say how it went')
   .argument(...dayArgument)
   .option('--seed <n>', "instead of the day's own", whole)
-  .option('--speed <times>', 'simulated seconds a second; max: as fast as it goes', speed, null)
+  .addOption(
+    new Option('--speed <times>', 'simulated seconds a second; max: as fast as it goes')
+      .argParser(speed)
+      .default(null, 'max'),
+  )
   .option('--out <dir>', 'write the event log and the result there')
   .option('--log <level>', 'logs of the controllers, to standard error or to --out', level)
   .option('--report <file>', 'write a page (HTML) with charts over time; it needs no network')
@@ -212,6 +227,7 @@
   .option('--minutes <n>', 'for how long', positive, 5)
   .option('--seed <n>', 'of the first schedule', whole, 1)
   .option('--out <dir>', 'where the shrunk day goes', 'region-found')
+  .option('--mixed <release>', 'controllers of that earlier release and of this one, replaced by one another')
   .action((day: string, flags: HuntFlags) => huntFor(day, flags));
 
 regionCommand
@@ -226,6 +242,7 @@
   });
 
 interface MeasureFlags {
+  readonly old: string;
   readonly machines: number;
   readonly seed: number;
   readonly seconds: number;
@@ -261,3 +278,30 @@
     for (const ended of ENDED)
       process.stdout.write(`${JSON.stringify(await measureRecovery({ machines, ended, seed, rps, writeRps }))}\n`);
   });
+measure
+  .command('rollout')
+  .description('what it costs to replace the controllers of a loaded fleet one after the other, by kill and by leave')
+  .option('--machines <n>', 'how many', whole, 900)
+  .option('--seed <n>', 'of the day', whole, 1)
+  .option('--old <release>', 'the earlier release that this one is mixed with', 'before-rollout')
+  .action(async ({ machines, seed, old }: MeasureFlags) => {
+    const known = releases();
+    known.of(old);
+    for (const roll of rollsOf(old))
+      process.stdout.write(`${JSON.stringify(await measureRoll({ machines, seed, ...roll, releases: known }))}\n`);
+  });
+measure
+  .command('changes')
+  .description('changes a second that storing progress takes, in one record for each shard and in one for each job')
+  .option('--machines <n>', 'how many', whole, 900)
+  .option('--seed <n>', 'of the day', whole, 1)
+  .action(async ({ machines, seed }: MeasureFlags) => {
+    for (const grouped of [false, true])
+      process.stdout.write(`${JSON.stringify(await measureChanges(machines, seed, grouped))}\n`);
+  });
+regionCommand
+  .command('releases')
+  .description('the releases that a day can play')
+  .action(() => {
+    process.stdout.write(`${releases().names.join('\n')}\n`);
+  });
--- a/packages/region/src/hunt/hunt.ts
+++ b/packages/region/src/hunt/hunt.ts
@@ -1,6 +1,7 @@
 import { stringify } from 'smol-toml';
 import { readDay, type Day, type Trouble } from '../day/index.js';
 import { Region, type DayResult } from '../region.js';
+import { THIS, type Releases } from '../releases/index.js';
 import { Luck } from '../sim/index.js';
 
 const MOST_TROUBLES = 9;
@@ -58,10 +59,38 @@
   return Array.from({ length: count }, () => drawTrouble(luck, day)).sort((a, b) => a.at_s - b.at_s);
 }
 
+/**
+ * A day that begins with controllers of an earlier release, of this one, or of both, and replaces them once or twice
+ * while its troubles are on; by seed alone.
+ */
+export function mixReleases(seed: number, day: Day, old: string): Day {
+  const luck = new Luck(seed, 'releases');
+  const { count } = day.controllers;
+  const either = (): string => (luck.chance(0.5) ? old : THIS);
+  const last = day.duration_s - day.quiet_end_s;
+  const rolls = Array.from({ length: 1 + luck.whole(2) }, (): Trouble => ({
+    kind: 'rollout',
+    at_s: Math.floor(luck.between(FIRST_AT_S, Math.max(FIRST_AT_S + 1, last * 0.8))),
+    gap_s: Math.round(luck.between(3, 25) * 10) / 10,
+    to: either(),
+    order: luck.some(
+      Array.from({ length: count }, (_, i) => i),
+      1 + luck.whole(count),
+    ),
+    leave: luck.chance(0.4),
+  }));
+  const troubles = [...day.troubles, ...rolls].sort((a, b) => a.at_s - b.at_s);
+  return {
+    ...day,
+    troubles,
+    controllers: { ...day.controllers, releases: Array.from({ length: count }, either) },
+  };
+}
+
 /** Plays a day to its end, or until the first rule breaks. */
-export async function playOnce(day: Day): Promise<DayResult> {
+export async function playOnce(day: Day, releases?: Releases): Promise<DayResult> {
   let broken = false;
-  const region = new Region({ day, broken: () => (broken = true) });
+  const region = new Region({ day, ...(releases ? { releases } : {}), broken: () => (broken = true) });
   await region.play(day.duration_s, { stop: () => broken });
   return region.close();
 }
@@ -94,6 +123,9 @@
   readonly seed: number;
   readonly goOn: () => boolean;
   readonly told: (line: string) => void;
+  /** Controllers of this earlier release take part. */
+  readonly mixed?: string;
+  readonly releases?: Releases;
 }
 
 const guilty = (result: DayResult): boolean => result.breaches.length + result.defects.length > 0;
@@ -101,17 +133,21 @@
 /** Plays schedule after schedule; null when the time is over and no rule was broken. */
 export async function hunt(
   day: Day,
-  { seed, goOn, told }: HuntOptions,
+  { seed, goOn, told, mixed, releases }: HuntOptions,
 ): Promise<{ readonly day: Day; readonly first: DayResult } | null> {
   for (let at = seed; goOn(); at++) {
-    const troubles = drawSchedule(at, day);
-    const first = await playOnce(withTroubles(day, troubles, at));
+    const drawn = withTroubles(day, drawSchedule(at, day), at);
+    const whole = mixed === undefined ? drawn : mixReleases(at, drawn, mixed);
+    const { troubles } = whole;
+    const first = await playOnce(whole, releases);
     const what = first.breaches[0]?.rule ?? (first.defects.length > 0 ? 'a defect' : null);
     told(`seed ${at}: ${troubles.length} troubles, ${what ?? 'every rule kept'}, ${first.open.length} jobs open`);
     if (!guilty(first)) continue;
     told(`seed ${at}: shrinking`);
-    const fewest = await shrink(troubles, async (tried) => guilty(await playOnce(withTroubles(day, tried, at))));
-    return { day: withTroubles(day, fewest, at), first };
+    const fewest = await shrink(troubles, async (tried) =>
+      guilty(await playOnce(withTroubles(whole, tried, at), releases)),
+    );
+    return { day: withTroubles(whole, fewest, at), first };
   }
   return null;
 }
--- a/packages/region/src/models/state.ts
+++ b/packages/region/src/models/state.ts
@@ -77,6 +77,8 @@
   private readonly changes: Allowance;
   /** How much longer than usual it takes. */
   slowness = 1;
+  /** Told of each change, by measurements. */
+  wrote: (key: string, value: unknown) => void = () => undefined;
   /** Set by tests: a change that is answered and never made. */
   loses: (key: string) => boolean = () => false;
   /** Set by tests: how a request goes wrong. */
@@ -126,6 +128,11 @@
     return this.keys.get(key)?.value;
   }
 
+  /** The keys with a prefix. */
+  under(prefix: string): string[] {
+    return [...this.keys.keys()].filter((key) => key.startsWith(prefix));
+  }
+
   /** Drops the log of changes: every watch is told to read again. */
   forget(): void {
     this.log = [];
@@ -238,6 +245,7 @@
     for (const write of writes) {
       const key = 'gone' in write ? write.gone : write.key;
       if (this.loses(key)) continue;
+      this.wrote(key, 'gone' in write ? undefined : write.value);
       const before = this.keys.get(key);
       if (before?.lease != null) this.leases.get(before.lease)?.keys.delete(key);
       if ('gone' in write) {
--- /dev/null
+++ b/src/cli/index.ts
@@ -0,0 +1,1 @@
+export { quietWhenUnread } from './streams.js';
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -5,6 +5,8 @@
 import { loadSettings, SettingsError } from '../config/index.js';
 import { createLogger, HttpClient, parseAddress, systemRuntime, type Call } from '../kernel/index.js';
 import { Service, type ServiceOptions } from '../service/index.js';
+import { adminRollout } from './rollout.js';
+import { quietWhenUnread } from './streams.js';
 
 declare const WOODDRIFT_VERSION: string | undefined;
 
@@ -41,6 +43,8 @@
   return n;
 };
 
+quietWhenUnread(process.stdout);
+
 /** Asks a controller and prints its answer; a status that is no success gives a non-zero exit. */
 async function ask(node: string, call: Omit<Call, 'timeoutMs'>): Promise<void> {
   const target = parseAddress(node);
@@ -131,6 +135,8 @@
     );
 }
 
+adminRollout(admin, withNode, ask);
+
 /** Tools have a bundle of their own beside this one, so that a controller starts without their libraries. */
 function runTools(): void {
   const here = realpathSync(process.argv[1] ?? '');
--- a/src/holder/grouping.ts
+++ b/src/holder/grouping.ts
@@ -4,7 +4,8 @@
 import type { HeldShard } from './held.js';
 import type { JobRun } from './run.js';
 
-const GROUP_EVERY_MS = 1000;
+/** One record for all is a change however many there are: at a second apart it was more than thirty jobs' own take. */
+const GROUP_EVERY_MS = 2000;
 /** Larger jobs keep their progress in their own records: each write of the group holds all of it. */
 const MOST_TASKS = 4000;
 /** How much of what the state service takes as one value a group may fill. */
--- a/src/rollout/decide.ts
+++ b/src/rollout/decide.ts
@@ -114,7 +114,9 @@
           ? `${later.name} needs it and goes back first`
           : { state: 'returning', why: 'an operator wants it back' };
       // More than one end for each controller within a minute: whatever ends them, this was the last thing that changed.
-      const ends = at.wall - now.since < PROBATION_MS ? at.watched.ends.length : 0;
+      // Only those since: a crash of all just before had nothing to do with it.
+      const onForMs = at.wall - now.since;
+      const ends = onForMs < PROBATION_MS ? at.watched.ends.filter((end) => at.now - end < onForMs).length : 0;
       if (ends > at.nodes.length && !later)
         return { state: 'returning', why: `${ends} ends of controllers after it went on`, stopped: true };
       if (at.wishes.finish.includes(name))
