--- a/packages/region/src/cli/command.ts
+++ b/packages/region/src/cli/command.ts
@@ -2,7 +2,7 @@
 import { basename, dirname, join } from 'node:path';
 import { SingleBar, Presets } from 'cli-progress';
 import { Command, InvalidArgumentError, Option } from 'commander';
-import { createLogger } from '../../../../src/kernel/index.js';
+import { createLogger, systemRuntime } from '../../../../src/kernel/index.js';
 import { readDay, type Day } from '../day/index.js';
 import { hunt, playOnce, writeDay } from '../hunt/index.js';
 import { ENDED, measureChanges, measureRecovery, measureRoll, measureSpeed, rollsOf } from '../measure/index.js';
@@ -146,6 +146,12 @@
   process.stdout.write('The models are up. Start each controller in a shell of its own:\n\n');
   for (const name of Object.keys(files))
     process.stdout.write(`  node target/main.cjs serve --config ${join(flags.out, name)}\n`);
+  const [file] = Object.keys(files);
+  const [, earlier] = releases().names;
+  if (file !== undefined && earlier !== undefined)
+    process.stdout.write(
+      `\nor, as an earlier release:\n\n  node target/main.cjs region controller ${earlier} --config ${join(flags.out, file)}\n`,
+    );
   const [first] = seats;
   if (first)
     process.stdout.write(`\nthen, for example: export WOODDRIFT_NODE=${first.serveOn.host}:${first.serveOn.port}\n`);
@@ -299,6 +305,21 @@
     for (const grouped of [false, true])
       process.stdout.write(`${JSON.stringify(await measureChanges(machines, seed, grouped))}\n`);
   });
+regionCommand
+  .command('controller')
+  .description('run a controller of one of these releases, as `serve` runs the one of this program')
+  .argument('<release>', 'its name')
+  .requiredOption('--config <file>', 'settings file (TOML)')
+  .action((name: string, { config }: { config: string }) => {
+    const release = releases().of(name);
+    let toml: string;
+    try {
+      toml = readFileSync(config, 'utf8');
+    } catch {
+      throw new UsageError(`${config}: no such file`);
+    }
+    release.make(toml, createLogger(process.env['LOG_LEVEL'], name), systemRuntime, {}).start();
+  });
 regionCommand
   .command('releases')
   .description('the releases that a day can play')
--- a/src/cli/rollout.ts
+++ b/src/cli/rollout.ts
@@ -12,6 +12,9 @@
   readonly json?: true;
 }
 
+/** Texts are quoted in a table; what is none needn't be. */
+const cell = (value: unknown): string | number | boolean =>
+  typeof value === 'boolean' || typeof value === 'number' ? value : text(value);
 const text = (value: unknown): string =>
   Array.isArray(value) ? value.map(text).join(' ') : value === null || value === undefined ? '-' : String(value);
 
@@ -19,11 +22,15 @@
 function printOverview(body: unknown): void {
   if (!isObject(body)) return;
   const out = new Console({ stdout: process.stdout });
-  const rows = (list: unknown, name: string, fields: readonly string[]): Record<string, Record<string, string>> =>
+  const rows = (
+    list: unknown,
+    name: string,
+    fields: readonly string[],
+  ): Record<string, Record<string, string | number | boolean>> =>
     Object.fromEntries(
       asList(list)
         .filter(isObject)
-        .map((row) => [text(row[name]), Object.fromEntries(fields.map((field) => [field, text(row[field])]))]),
+        .map((row) => [text(row[name]), Object.fromEntries(fields.map((field) => [field, cell(row[field])]))]),
     );
   out.table(rows(body['nodes'], 'node', ['registered', 'heard', 'release', 'frames', 'features', 'holds', 'leaving']));
   out.table(rows(body['features'], 'name', ['state', 'why', 'since', 'waitsFor', 'wayBack']));
--- a/src/service/service.ts
+++ b/src/service/service.ts
@@ -474,7 +474,7 @@
       stay: () => tenure.stay('an operator wants it to stay'),
       leaving: () => {
         const { leaving, left, staysInMs } = tenure;
-        return { leaving, left, staysInS: staysInMs === null ? null : staysInMs / 1000 };
+        return { leaving, left, staysInS: staysInMs === null ? null : Math.ceil(staysInMs / 1000) };
       },
     };
   }
