--- a/src/holder/index.ts
+++ b/src/holder/index.ts
@@ -4,4 +4,3 @@
 export { JobRun } from './run.js';
 export { mustLeave } from './departures.js';
 export { planGroup } from './grouping.js';
-export { JobRun } from './run.js';
