--- a/src/holder/grouping.ts
+++ b/src/holder/grouping.ts
@@ -42,7 +42,7 @@
 }
 
 /**
- * Progress of a shard's jobs in one record: one change a second for all of them, where each job's own record takes one
+ * Progress of a shard's jobs in one record: one change every two seconds for all, where each job's own record takes one
  * for each of them. On only once every controller reads it; one that doesn't would start done tasks again, which end
  * as done at once. On the way back each job's own record is written, then the group goes.
  */
--- a/src/holder/moves.ts
+++ b/src/holder/moves.ts
@@ -48,7 +48,7 @@
       { key: shardKey(this.held.shard), version: own.version as number },
     ];
     void this.held.deps.state
-      .txn(Urgency.move, guards, [{ put: key, value }])
+      .txn(Urgency.shard, guards, [{ put: key, value }])
       .then(async (result) => {
         if (result.kind === 'ok') {
           this.held.deps.log.info(
@@ -136,7 +136,7 @@
       guards.push({ key: shardKey(to), version: target.version });
       ops.push({ put: shardKey(to), value: encodeShard({ ...theirs, machines: [...theirs.machines, ...infos] }) });
     }
-    const result = await state.txn(Urgency.block, guards, ops);
+    const result = await state.txn(Urgency.shard, guards, ops);
     if (result.kind === 'ok') {
       log.info({ machines: [...ids], from: this.held.shard, to }, 'machines leave the block');
       for (const op of ops) mirror.apply({ key: op.put, value: op.value, removed: false, version: result.revision });
@@ -192,7 +192,7 @@
     }
     const next = encodeShard({ ...value, earlier: [...this.held.earlier.values()], released: true, next: to });
     const result = await this.held.deps.state.txn(
-      Urgency.block,
+      Urgency.shard,
       [{ key: shardKey(this.held.shard), version: own.version }],
       [{ put: shardKey(this.held.shard), value: next }],
     );
--- a/src/leasing/leader.ts
+++ b/src/leasing/leader.ts
@@ -255,7 +255,7 @@
       // Guarded by every shard: a machine must never be in two blocks, however late our view is.
       const guards = [...shards].map(([name, s]) => ({ key: shardKey(name), version: s.version as number }));
       guards.push({ key: LEADER, version: term });
-      const result = await this.deps.state.txn(Urgency.block, guards, [{ put: shardKey(to), value }]);
+      const result = await this.deps.state.txn(Urgency.shard, guards, [{ put: shardKey(to), value }]);
       if (result.kind === 'ok') {
         this.deps.log.info({ shard: to, machines: added.map((m) => m.id) }, 'leased machines to a shard');
         this.deps.mirror.apply({ key: shardKey(to), value, removed: false, version: result.revision });
@@ -299,7 +299,7 @@
           { key: shardKey(name), version: version as number },
           { key: LEADER, version: term },
         ];
-        const result = await this.deps.state.txn(Urgency.block, guards, [{ put: shardKey(name), value: next }]);
+        const result = await this.deps.state.txn(Urgency.shard, guards, [{ put: shardKey(name), value: next }]);
         if (result.kind === 'ok') {
           this.deps.mirror.apply({ key: shardKey(name), value: next, removed: false, version: result.revision });
         } else {
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -162,7 +162,7 @@
     if (this.mirror.get(LEADER)) return;
     const value = { node: this.self, incarnation: this.incarnation };
     const result = await this.state.txn(
-      Urgency.block,
+      Urgency.shard,
       [
         { key: LEADER, version: 0 },
         { key: nodeKey(this.self), version: this.nodeVersion },
@@ -179,7 +179,7 @@
   private async standDown(): Promise<void> {
     const { leading } = this;
     if (leading === null) return;
-    const result = await this.state.txn(Urgency.block, [{ key: LEADER, version: leading }], [{ remove: LEADER }]);
+    const result = await this.state.txn(Urgency.shard, [{ key: LEADER, version: leading }], [{ remove: LEADER }]);
     if (result.kind !== 'ok') return;
     this.mirror.apply({ key: LEADER, value: undefined, removed: true, version: result.revision });
     this.log.info('this node leads no more');
--- a/src/membership/settle.ts
+++ b/src/membership/settle.ts
@@ -30,7 +30,7 @@
       mirror.apply({ key, value: read.entry.value, removed: false, version });
       if (!goOn()) return;
       const value = rewritten(read.entry.value);
-      const result = await state.txn(Urgency.block, [{ key, version }], [{ put: key, value }]);
+      const result = await state.txn(Urgency.shard, [{ key, version }], [{ put: key, value }]);
       if (result.kind === 'ok') {
         mirror.apply({ key, value, removed: false, version: result.revision });
         return;
--- a/src/rollout/conductor.ts
+++ b/src/rollout/conductor.ts
@@ -112,7 +112,7 @@
       ...nodes.map(({ node, version }) => ({ key: nodeKey(node), version })),
     ];
     const value = encodeState(next);
-    const result = await this.deps.state.txn(Urgency.block, guards, [{ put: ROLLOUT_STATE, value }]);
+    const result = await this.deps.state.txn(Urgency.shard, guards, [{ put: ROLLOUT_STATE, value }]);
     if (result.kind !== 'ok') return;
     mirror.apply({ key: ROLLOUT_STATE, value, removed: false, version: result.revision });
     this.deps.log.info(changed, 'a feature of the rollout is switched');
--- a/src/state/client.ts
+++ b/src/state/client.ts
@@ -22,11 +22,8 @@
   type Op,
 } from './wire.js';
 
-/**
- * Which write goes first when changes a second are scarce. Lower goes first. What becomes of a shard or its block is a
- * few writes a second at most and goes before submissions: without machines there is no use in accepting more.
- */
-export const Urgency = { session: 0, final: 1, block: 2, accept: 3, move: 4, progress: 5 } as const;
+/** Which write goes first when changes a second are scarce. Lower goes first. */
+export const Urgency = { session: 0, final: 1, accept: 2, shard: 3, progress: 4 } as const;
 export type Urgency = (typeof Urgency)[keyof typeof Urgency];
 
 export type ReadResult =
@@ -67,7 +64,7 @@
  */
 function allowanceFor(write: Queued, burst: number): number {
   if (write.urgency === Urgency.progress) return Math.min(write.ops.length, burst);
-  if (write.urgency === Urgency.move) return 0;
+  if (write.urgency === Urgency.shard) return 0;
   return write.urgency === Urgency.session ? -3 * burst : -burst;
 }
 
