--- a/src/rollout/conductor.ts
+++ b/src/rollout/conductor.ts
@@ -30,7 +30,6 @@
 import { decodeAnnouncement, GROUPED_PROGRESS, RELEASE, type Feature } from './release.js';
 
 export interface ConductorDeps {
-  readonly self: NodeName;
   /** All configured controllers, this one included: a feature waits for those that are down, too. */
   readonly nodes: readonly NodeName[];
   readonly features: readonly Feature[];
@@ -157,7 +156,7 @@
     return { kind: 'unavailable' };
   }
 
-  /** The moment up to which `watching` was looked at. */
+  /** Steady time, as `watching` has it. */
   get now(): Millis {
     return this.deps.runtime.now();
   }
--- a/src/rollout/decide.ts
+++ b/src/rollout/decide.ts
@@ -1,6 +1,5 @@
 import type { Incarnation, Millis, NodeName, WallMillis } from '../kernel/index.js';
-import type { Announcement } from './release.js';
-import type { Feature } from './release.js';
+import type { Announcement, Feature } from './release.js';
 import type { FeatureState, RolloutState, RolloutWishes, StoredFeature } from './record.js';
 
 /** Every configured controller has to have been there, unchanged, for so long before anything goes on. */
--- a/src/service/service.ts
+++ b/src/service/service.ts
@@ -177,7 +177,7 @@
       log,
     );
     this.conductor = new Conductor({
-      ...{ self: settings.node, features: FEATURES, state: this.state, mirror: this.mirror, runtime, log },
+      ...{ features: FEATURES, state: this.state, mirror: this.mirror, runtime, log },
       nodes: [settings.node, ...settings.seeds.map((seed) => seed.node)].sort(),
       leading: () => this.membership.leading,
     });
--- a/src/service/tenure.ts
+++ b/src/service/tenure.ts
@@ -15,6 +15,7 @@
 import { shardKey, SHARDS, type Change, type Mirror, type StateClient } from '../state/index.js';
 import type { Trail } from '../trail/index.js';
 
+const CUT_OFF = 'this node cannot reach the workers';
 const HAND_BACK_AFTER_MS = 3000;
 /** Whoever asked this node to leave should have ended it by then: it takes part again. */
 const LEAVING_FOR_MS = 60_000;
@@ -189,5 +190,3 @@
     return millis(Math.max(0, this.leavingSince + LEAVING_FOR_MS - this.deps.runtime.now()));
   }
 }
-
-const CUT_OFF = 'this node cannot reach the workers';
