Cancellations are carried before they are said: holders act on a peer's word without a read, and say so first

Now the word is a fact of its own frame, every holder acknowledges it, and users are told only then, however they ask; reports' answers carry the stops, too; a holder that neither the state service nor a majority of controllers reassures falls silent in time. A node's key is registered under guard: a late copy of an earlier life's registration took the present life's place.

Its assertions are as they were.

--- a/packages/region/src/day/schema.ts
+++ b/packages/region/src/day/schema.ts
@@ -116,6 +116,8 @@
   v.strictObject({ kind: v.literal('machines_restart'), ...at, ...machines, zone: v.optional(name), down_s: positive }),
   v.strictObject({ kind: v.literal('state_outage'), ...lasting }),
   v.strictObject({ kind: v.literal('state_slow'), ...lasting, times: v.pipe(v.number(), v.gtValue(1)) }),
+  /** A share of transactions gets no answer and is carried out 2 to 12 s later. */
+  v.strictObject({ kind: v.literal('late_writes'), ...lasting, share }),
   v.strictObject({ kind: v.literal('watch_forgets'), ...at }),
   v.strictObject({ kind: v.literal('cloud_outage'), ...lasting }),
   v.strictObject({ kind: v.literal('capacity_drop'), ...lasting, share }),
--- a/packages/region/src/hunt/hunt.ts
+++ b/packages/region/src/hunt/hunt.ts
@@ -48,6 +48,7 @@
     { kind: 'peers_refuse', at_s, for_s },
     { kind: 'state_outage', at_s, for_s },
     { kind: 'state_slow', at_s, for_s, times: 20 },
+    { kind: 'late_writes', at_s, for_s, share: Math.min(0.3, share) },
     { kind: 'watch_forgets', at_s },
     { kind: 'cloud_outage', at_s, for_s },
     { kind: 'capacity_drop', at_s, for_s, share },
--- a/packages/region/src/models/state.ts
+++ b/packages/region/src/models/state.ts
@@ -54,6 +54,7 @@
 const LIST_BYTES = 512 * 1024;
 const TXN_BYTES = 64 * 1024;
 const LATE_MS = 100;
+const LATE_WRITES_MS = [2000, 12_000] as const;
 const SLOW_SHARE = 0.004;
 const KEY = /^[^ ]{1,200}$/;
 
@@ -77,6 +78,8 @@
   private readonly changes: Allowance;
   /** How much longer than usual it takes. */
   slowness = 1;
+  /** This share of transactions gets no answer, and is carried out seconds later, after newer ones. */
+  lateWrites = 0;
   /** Told of each change, by measurements. */
   wrote: (key: string, value: unknown) => void = () => undefined;
   /** Set by tests: a change that is answered and never made. */
@@ -155,6 +158,10 @@
       this.counts.refused += 1;
       return TOO_MANY;
     }
+    if (this.lateWrites > 0 && request.path === '/txn' && this.luck.chance(this.lateWrites)) {
+      this.runtime.after(this.luck.between(...LATE_WRITES_MS), () => void this.answer(request));
+      return new Promise<Answer>(() => undefined);
+    }
     const spoiled = this.spoils(request);
     if (spoiled === 'lost-answer') void this.answer(request);
     return spoiled ? new Promise<Answer>(() => undefined) : this.answer(request);
--- a/packages/region/src/troubles.ts
+++ b/packages/region/src/troubles.ts
@@ -208,6 +208,10 @@
       parts.state.slowness = trouble.times;
       after(trouble.for_s, () => (parts.state.slowness = 1));
       break;
+    case 'late_writes':
+      parts.state.lateWrites = trouble.share;
+      after(trouble.for_s, () => (parts.state.lateWrites = 0));
+      break;
     case 'watch_forgets':
       parts.state.forget();
       break;
--- a/packages/region/test/pipelines.test.ts
+++ b/packages/region/test/pipelines.test.ts
@@ -54,7 +54,12 @@
 const doneOf = ({ result }: PlayedDay, name: string): number => result.classes.find((c) => c.name === name)?.done ?? 0;
 
 test('the day of chains: rolled from production to this release, then the limits fall, and every chain goes on', async () => {
-  const day = await keepsRules(shippedDay('chain'));
+  // That they have fallen shows by refusals alone, so they have to be low enough that some write is refused for certain.
+  const chain = shippedDay('chain');
+  const day = await keepsRules({
+    ...chain,
+    state: { ...chain.state, next: { write_rps: 8, value_kb: 2, txn_ops: 5 } },
+  });
   assert.ok(doneOf(day, 'close') >= 15, String(doneOf(day, 'close')));
   assert.ok(day.logs.some(({ msg }) => msg === 'job cancelled with a job that it needs'));
   assert.equal(day.logs.filter(({ msg }) => msg === "a shard's machines are in pages now").length, 3);
--- /dev/null
+++ b/src/carry/index.ts
@@ -0,0 +1,3 @@
+export * from './bound.js';
+export * from './carrier.js';
+export * from './missing.js';
--- a/src/holder/deps.ts
+++ b/src/holder/deps.ts
@@ -1,4 +1,5 @@
 import type { MachineType } from '../cloud/index.js';
+import type { Standing } from '../carry/index.js';
 import type { Settings } from '../config/index.js';
 import type { JobRegistry, JobSpec } from '../jobs/index.js';
 import type { Inherited } from '../pipelines/index.js';
@@ -48,6 +49,10 @@
   readonly pipelines: Pipelines;
   /** Progress of a shard's jobs is stored in one record for all of them. */
   grouped(): boolean;
+  /** What this node may still do as a holder, by who reassures it. */
+  standing(): Standing;
+  /** How long a worker is answered that still lists tasks of jobs that are over, in milliseconds. */
+  readonly leftoverMs: number;
   /** Something is to be done soon. */
   nudge(): void;
   /** A worker has answered. */
--- a/src/holder/held.ts
+++ b/src/holder/held.ts
@@ -16,8 +16,10 @@
 import { jobKey, JOBS, progressKey, shardKey, type Change } from '../state/index.js';
 import { Whereabouts, encodeRedirect, encodeReply, type ListedTask, type WorkerMessage } from '../workers/index.js';
 import { bookingOf, type Booking } from './booking.js';
+import { takeExit } from './exits.js';
 import { forgets } from './forgetting.js';
 import { recall } from './grouping.js';
+import { leftoversOn } from './leftovers.js';
 import { HeldMachine } from './machine.js';
 import { JobRun, type ActiveTask, type StopReason } from './run.js';
 import type { HolderDeps, ReportReply } from './deps.js';
@@ -163,8 +165,12 @@
     if (change.removed || !isForeignJob(change.value)) this.foreign.delete(id);
     else return this.leaveAlone(id, run);
     if (change.removed || (isObject(change.value) && change.value['shard'] !== this.shard)) {
-      if (run && !run.ended) this.endRun(run);
-      else if (this.waiting.delete(id)) this.stopAll(id);
+      this.onOver(id);
+      return;
+    }
+    // It ended in the state service, or so a peer says: whatever the watch still shows of it is older.
+    if (this.deps.registry.isOver(id)) {
+      this.onOver(id);
       return;
     }
     if (run && !run.ended && run.version >= change.version) return;
@@ -235,16 +241,18 @@
   }
 
   /** What is listed of it stays where it is: this program can't judge it, or not yet. */
-  private untouched(id: JobId): boolean {
+  untouched(id: JobId): boolean {
     return this.foreign.has(id) || this.waiting.has(id);
   }
 
-  /** The user cancelled it through another node, which tells us ahead of the watch. */
-  async onCancelled(id: JobId): Promise<void> {
+  /**
+   * It is over, and so it stays: no read is needed. Found by `gap`: asked for while the state service refused this node
+   * alone, the word of a peer was dropped for good.
+   */
+  onOver(id: JobId): void {
     const run = this.jobs.get(id);
-    if (!run || run.ended) return;
-    const state = await this.deps.registry.look(id);
-    if (state.kind === 'ended') this.endRun(run);
+    if (run && !run.ended) this.endRun(run);
+    else if (this.waiting.delete(id)) this.stopAll(id);
   }
 
   private superseded(machine: HeldMachine): void {
@@ -269,6 +277,8 @@
     if (!machine || this.dropped) return { status: 421, body: encodeRedirect(null) };
     if (this.frozen || (machine.leaving?.since ?? 0) < 0)
       return { status: 503, body: { error: 'the shard changes hands' } };
+    // Another may hold the shard by now: the worker's lease has to run out in time.
+    if (this.deps.standing() === 'nothing') return { status: 503, body: { error: 'nobody is heard' } };
     const { generation, fenced } = machine.belief;
     const verdict = machine.belief.take(message, now);
     if (verdict === 'superseded') {
@@ -289,14 +299,11 @@
     } else if (message.session < machine.belief.session || !machine.belief.heard) {
       return { status: 503, body: { error: 'an old report' } };
     }
+    const leftovers = leftoversOn(this, machine, now);
+    if (leftovers === null) return { status: 503, body: { error: 'it lists tasks of jobs that are over' } };
     machine.belief.answered(now);
-    return {
-      status: 200,
-      body: encodeReply(
-        machine.belief.token,
-        forgets(machine, this.runOf, (id) => this.untouched(id)),
-      ),
-    };
+    const forgotten = forgets(machine, this.runOf, (id) => this.untouched(id));
+    return { status: 200, body: encodeReply(machine.belief.token, [...forgotten, ...leftovers]) };
   }
 
   /** Takes in what a worker lists: progress, exits, and tasks that an earlier holder started. */
@@ -316,7 +323,7 @@
       if (listed.state === 'exited') {
         if (machine.seenExits.get(key) === listed.attempt) continue;
         machine.seenExits.set(key, listed.attempt);
-        this.onExit(machine, run, listed.index, mine ? active : undefined, listed, now);
+        takeExit(this, machine, run, listed, mine ? active : undefined, now);
       } else if (mine) {
         this.onState(machine, run, active, listed, now);
       } else if (!active && !run.done.has(listed.index)) {
@@ -382,60 +389,7 @@
     }
   }
 
-  private onExit(
-    machine: HeldMachine,
-    run: JobRun,
-    index: number,
-    active: ActiveTask | undefined,
-    listed: ListedTask,
-    now: Millis,
-  ): void {
-    const { spec } = run;
-    if (listed.why === 'done' && run.markDone(index)) {
-      machine.noteImage(spec.image);
-      // An adopted task seems short, and by its measure every later one slow: stragglers everywhere, and healthy
-      // machines condemned and given back half a minute after a restart.
-      if (active?.runningAt != null && !active.adopted && spec.kind === 'array') {
-        const ranS = (now - active.runningAt) / 1000;
-        const typical = run.typicalRunS;
-        if (typical !== null && typical > 1 && run.finishedRunsS.length >= 3) machine.noteRun(ranS / typical);
-        run.noteRun(ranS);
-      }
-      this.soon();
-    }
-    if (listed.why === 'error') {
-      this.onFailure(machine, run, index, now);
-    }
-    if (listed.why === 'no-room' || listed.why === 'busy') machine.coolUntil = millis(now + 1000);
-    if (listed.why === 'unknown') run.notBefore = millis(now + 1000);
-    if (active) this.release(machine, run, active, listed.why ?? 'exited');
-  }
-
-  /** Either the machine is at fault or the job: who fails wherever it is tried condemns nobody. */
-  private onFailure(machine: HeldMachine, run: JobRun, index: number, now: Millis): void {
-    const before = run.failsEverywhere;
-    run.noteError(machine.id, now, this.deps.runtime.random());
-    if (run.failsEverywhere) {
-      if (before) return;
-      for (const id of run.errorMachines) this.machines.get(id)?.absolve(run.id);
-      this.deps.log.info(
-        { job: run.id, machines: [...run.errorMachines] },
-        'a job fails wherever it is tried: it is tried again now and then, behind everything else',
-      );
-      return;
-    }
-    const known = machine.faulty(now);
-    machine.noteFailure(run.id, now);
-    this.deps.log.debug({ job: run.id, index, machine: machine.id }, 'a task failed');
-    if (known || !machine.faulty(now)) return;
-    this.deps.trail?.note({ kind: 'faulty', machine: machine.id });
-    this.deps.log.info(
-      { machine: machine.id, job: run.id },
-      'a machine fails what is started there: nothing new goes there',
-    );
-  }
-
-  private release(machine: HeldMachine, run: JobRun, active: ActiveTask, why: string): void {
+  release(machine: HeldMachine, run: JobRun, active: ActiveTask, why: string): void {
     run.noteRunning(active, this.deps.runtime.now());
     run.active.delete(active.index);
     machine.active.delete(taskKey(run.id, active.index));
--- a/src/holder/machine.ts
+++ b/src/holder/machine.ts
@@ -34,6 +34,9 @@
   emptySince: Millis;
   /** The lease is over and the worker has not come back. */
   lost = false;
+  /** Since when it is known to list tasks of jobs that are over; null: it doesn't. */
+  leftoversSince: Millis | null = null;
+  leftoversTold = false;
   /** Asked to leave the block: no new tasks. */
   leaving: { readonly to: string | null; readonly since: Millis } | null = null;
 
--- a/src/holder/starts.ts
+++ b/src/holder/starts.ts
@@ -160,6 +160,8 @@
   }
 
   place(orders: Map<MachineId, Order[]>, now: Millis): void {
+    // Another may hold the shard by now, and know of jobs that are over.
+    if (this.held.deps.standing() !== 'all') return;
     const teams = this.teamUse();
     const pending: PendingJob[] = [];
     for (const run of this.held.jobs.values()) {
--- a/src/jobs/registry.ts
+++ b/src/jobs/registry.ts
@@ -25,7 +25,7 @@
 
 export type JobState =
   | { readonly kind: 'open'; readonly record: JobRecord; readonly version: Revision }
-  | { readonly kind: 'ended'; readonly final: JobFinal }
+  | { readonly kind: 'ended'; readonly final: JobFinal; readonly version: Revision }
   | { readonly kind: 'absent' }
   | { readonly kind: 'unavailable' };
 
@@ -39,7 +39,8 @@
   /** What an open job waits for; null: a job that it needs is cancelled, and so it has to be. */
   awaits(id: JobId): readonly JobId[] | null;
   running(id: JobId): { running: number; done: number };
-  cancelled(id: JobId): void;
+  /** May users be told that it is cancelled: is it certain that its tasks end in time, whatever fails from now on? */
+  carried(id: JobId, final: JobFinal, version: Revision): Promise<boolean>;
   /** It is known here, for the first time, to be over. */
   ended(id: JobId, final: JobFinal): void;
 }
@@ -62,7 +63,9 @@
 /** Submissions, queries and cancellations: what is stored decides, and only a stored job is accepted. */
 export class JobRegistry {
   /** Finals never change, so they may be kept. */
-  private readonly finals = new Map<JobId, JobFinal>();
+  private readonly finals = new Map<JobId, { readonly final: JobFinal; readonly version: Revision }>();
+  /** Said to be cancelled by an earlier release, which says no more than that. */
+  private readonly saidOver = new Set<JobId>();
   private readonly freshness: Freshness;
 
   constructor(
@@ -79,7 +82,7 @@
   /** The present state of a job, read afresh; an ended job is in `finals` before it leaves `jobs`. */
   async look(id: JobId): Promise<JobState> {
     const cached = this.finals.get(id);
-    if (cached) return { kind: 'ended', final: cached };
+    if (cached) return { kind: 'ended', ...cached };
     const open = await this.state.get(jobKey(id));
     if (open.kind === 'unavailable') return { kind: 'unavailable' };
     if (open.kind === 'found') {
@@ -95,22 +98,35 @@
     }
     const final = decodeFinal(ended.entry.value);
     if (!final) return { kind: 'unavailable' };
-    this.remember(id, final);
-    return { kind: 'ended', final };
+    const { version } = ended.entry;
+    this.remember(id, final, version);
+    return { kind: 'ended', final, version };
   }
 
   /** How it ended, if that is known here. */
   finalOf(id: JobId): JobFinal | undefined {
-    return this.finals.get(id);
+    return this.finals.get(id)?.final;
   }
 
-  remember(id: JobId, final: JobFinal): void {
+  /** Is it known here to be over? Whatever else is seen of it is older, and it is never taken up again. */
+  isOver(id: JobId): boolean {
+    return this.finals.has(id) || this.saidOver.has(id);
+  }
+
+  /** An earlier release says that it is stored as cancelled; how far it had come is not known. */
+  heardOver(id: JobId): void {
+    if (this.saidOver.size >= MAX_FINALS) this.saidOver.clear();
+    this.saidOver.add(id);
+  }
+
+  /** It is over, by a final that was stored in this version. */
+  remember(id: JobId, final: JobFinal, version: Revision): void {
     if (this.finals.size >= MAX_FINALS) {
       const oldest = this.finals.keys().next();
       if (!oldest.done) this.finals.delete(oldest.value);
     }
     const known = this.finals.has(id);
-    this.finals.set(id, final);
+    this.finals.set(id, { final, version });
     if (!known) this.hooks.ended(id, final);
   }
 
@@ -206,7 +222,7 @@
     const result = await this.state.txn(Urgency.accept, guards, [{ put: finalKey(id), value: final }], 1500);
     if (result.kind === 'refused' || result.kind === 'no-lease') return later('the state service takes no writes');
     if (result.kind === 'ok') {
-      this.remember(id, final);
+      this.remember(id, final, result.revision);
       this.log.info({ job: id }, 'job accepted and cancelled: a job that it needs is cancelled');
       return { kind: 'created', view: { id, phase: 'cancelled', done: 0, running: 0 } };
     }
@@ -225,8 +241,13 @@
         return later('the state service cannot be read');
       case 'absent':
         return { kind: 'absent' };
-      case 'ended':
-        return { kind: 'known', view: { id, phase: state.final.phase, done: state.final.done, running: 0 } };
+      case 'ended': {
+        const { final, version } = state;
+        // Until then nobody is told: what is confirmed must come true with no help from anybody.
+        if (final.phase === 'cancelled' && !(await this.hooks.carried(id, final, version)))
+          return later('its cancellation has yet to reach every holder');
+        return { kind: 'known', view: { id, phase: final.phase, done: final.done, running: 0 } };
+      }
       case 'open': {
         const awaits = this.hooks.awaits(id);
         if (awaits === null) {
@@ -279,7 +300,6 @@
       const ended = await this.end(id, state.version, { phase: 'cancelled', done, at: this.runtime.wall() }, 1200);
       if (ended === 'ok') {
         this.log.info({ job: id }, 'job cancelled by its user');
-        this.hooks.cancelled(id);
         return this.query(id);
       }
       if (ended === 'later') return later('the state service takes no writes');
@@ -299,7 +319,7 @@
       waitMs,
     );
     if (result.kind === 'ok') {
-      this.remember(id, final);
+      this.remember(id, final, result.revision);
       this.mirror.apply({ key: jobKey(id), value: undefined, removed: true, version: result.revision });
       return 'ok';
     }
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -145,15 +145,16 @@
     this.lease ??= (await this.state.grantLease(LEASE_MS)) ?? undefined;
     if (this.lease === undefined) return;
     const value = { ...this.hooks.announcement(), incarnation: this.incarnation };
-    const result = await this.state.txn(
-      Urgency.session,
-      [],
-      [{ put: nodeKey(this.self), value, lease: this.lease }],
-      1500,
-    );
+    const key = nodeKey(this.self);
+    const known = await this.state.get(key);
+    if (known.kind === 'unavailable') return;
+    // Guarded, or a registration of an earlier life that is carried out late would take this life's place: its lease
+    // may last for a moment yet, and our shards would seem vacant while we hold them.
+    const guard = { key, version: known.kind === 'found' ? (known.entry.version as number) : 0 };
+    const result = await this.state.txn(Urgency.session, [guard], [{ put: key, value, lease: this.lease }], 1500);
     if (result.kind === 'ok') {
       this.nodeVersion = result.revision;
-      this.mirror.apply({ key: nodeKey(this.self), value, removed: false, version: result.revision });
+      this.mirror.apply({ key, value, removed: false, version: result.revision });
       this.verified = await this.hooks.verify();
       this.log.info({ incarnation: this.incarnation }, 'registered with the state service');
     } else if (result.kind === 'no-lease') this.lease = undefined;
--- a/src/peers/link.ts
+++ b/src/peers/link.ts
@@ -11,7 +11,14 @@
   Timer,
 } from '../kernel/index.js';
 import { FrameSplitter, OLDEST_VERSION, VERSION } from './codec.js';
-import { decodeMessage, encodeMessage, type AskOp, type PeerCondition, type PeerMessage } from './messages.js';
+import {
+  decodeMessage,
+  encodeMessage,
+  isKindOf,
+  type AskOp,
+  type PeerCondition,
+  type PeerMessage,
+} from './messages.js';
 
 const MAX_BUFFERED = 2 * 1024 * 1024;
 const MAX_INCOMING = 32;
@@ -110,16 +117,17 @@
     });
   }
 
+  /** False: it wasn't written, for want of a connection or because the other end reads no such frame. */
   send(to: NodeName, message: PeerMessage): boolean {
     const peer = this.peers.find((p) => p.node === to);
-    return peer !== undefined && this.write(peer, message);
+    return peer !== undefined && isKindOf(message.kind, peer.version) && this.write(peer, message);
   }
 
   broadcast(message: PeerMessage): void {
     // Written once for each version that some peer reads.
     const frames = new Map<number, Buffer | undefined>();
     for (const peer of this.peers) {
-      if (!this.canWrite(peer)) continue;
+      if (!this.canWrite(peer) || !isKindOf(message.kind, peer.version)) continue;
       if (!frames.has(peer.version)) frames.set(peer.version, this.encode(message, peer.version));
       this.write(peer, message, frames.get(peer.version));
     }
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -3,14 +3,18 @@
   jobId,
   machineId,
   nodeName,
+  revision,
   shardName,
+  wallMillis,
   type Incarnation,
   type JobId,
   type MachineId,
   type NodeName,
+  type Revision,
   type ShardName,
+  type WallMillis,
 } from '../kernel/index.js';
-import { FrameError, FrameReader, FrameWriter } from './codec.js';
+import { FrameError, FrameReader, FrameWriter, OLDEST_VERSION } from './codec.js';
 
 /** What a holder tells the others about one machine of its block. */
 export interface MachineSummary {
@@ -97,7 +101,39 @@
   | { readonly kind: 'ask'; readonly id: number; readonly op: AskOp; readonly body: string }
   | { readonly kind: 'answer'; readonly id: number; readonly status: number; readonly body: string }
   | { readonly kind: 'standdown'; readonly shard: ShardName; readonly version: number }
-  | { readonly kind: 'stooddown'; readonly shard: ShardName; readonly version: number };
+  | { readonly kind: 'stooddown'; readonly shard: ShardName; readonly version: number }
+  /** A job is stored as cancelled: a fact for ever, to be acted on without a read. Every holder says that it heard it. */
+  | {
+      readonly kind: 'withdrawn';
+      readonly job: JobId;
+      readonly done: number;
+      /** Time of day in milliseconds; null: not known. */
+      readonly at: WallMillis | null;
+      /** The revision at which that was stored. */
+      readonly version: Revision;
+    }
+  /** This life of the sender starts nothing of the job any more and stops what runs of it. */
+  | { readonly kind: 'heard'; readonly job: JobId; readonly incarnation: Incarnation }
+  | ({ readonly kind: 'word' } & Word);
+
+/** Who holds a shard, as the sender's mirror has it. */
+export interface ShardSeen {
+  readonly shard: ShardName;
+  readonly version: number;
+  readonly holder: NodeName;
+  readonly incarnation: Incarnation;
+}
+
+/** What a node says to one other again and again; dated by the other's own clock, so that one that comes late is old. */
+export interface Word {
+  /** The sender's life, and its steady clock in milliseconds. */
+  readonly incarnation: Incarnation;
+  readonly stamp: number;
+  /** The latest stamp that the sender has had of this receiver, and of which life; below 0: none. */
+  readonly echo: number;
+  readonly echoOf: Incarnation;
+  readonly shards: readonly ShardSeen[];
+}
 
 const Kind = {
   hello: 1,
@@ -109,8 +145,18 @@
   standdown: 7,
   stooddown: 8,
   welcome: 9,
+  withdrawn: 10,
+  heard: 11,
+  word: 12,
 } as const;
 
+/** Kinds that stand in no frame of version 2. */
+const SINCE_3: ReadonlySet<PeerMessage['kind']> = new Set(['withdrawn', 'heard', 'word']);
+
+/** May it be written in this version? */
+export const isKindOf = (kind: PeerMessage['kind'], version: number): boolean =>
+  version > OLDEST_VERSION || !SINCE_3.has(kind);
+
 const KNOWN_KINDS: ReadonlySet<number> = new Set(Object.values(Kind));
 
 const flags = (...bits: boolean[]): number => bits.reduce((sum, bit, i) => sum | (bit ? 1 << i : 0), 0);
@@ -171,6 +217,17 @@
     case 'standdown':
     case 'stooddown':
       return w.text(m.shard).f64(m.version);
+    case 'withdrawn':
+      return w
+        .text(m.job)
+        .u32(m.done)
+        .f64(m.at ?? -1)
+        .f64(m.version);
+    case 'heard':
+      return w.text(m.job).text(m.incarnation);
+    case 'word':
+      w.text(m.incarnation).f64(m.stamp).f64(m.echo).text(m.echoOf);
+      return w.items(m.shards, (x) => w.text(x.shard).f64(x.version).text(x.holder).text(x.incarnation));
   }
 }
 
@@ -260,6 +317,20 @@
       return { kind: 'standdown', shard: shardName(r.text()), version: r.f64() };
     case Kind.stooddown:
       return { kind: 'stooddown', shard: shardName(r.text()), version: r.f64() };
+    case Kind.withdrawn: {
+      const [job, done, at, version] = [jobId(r.text()), r.u32(), r.f64(), r.f64()];
+      return { kind: 'withdrawn', job, done, at: at < 0 ? null : wallMillis(at), version: revision(version) };
+    }
+    case Kind.heard:
+      return { kind: 'heard', job: jobId(r.text()), incarnation: incarnation(r.text()) };
+    case Kind.word: {
+      const said = { incarnation: incarnation(r.text()), stamp: r.f64(), echo: r.f64(), echoOf: incarnation(r.text()) };
+      const shards = r.items((): ShardSeen => ({
+        ...{ shard: shardName(r.text()), version: r.f64(), holder: nodeName(r.text()) },
+        incarnation: incarnation(r.text()),
+      }));
+      return { kind: 'word', ...said, shards };
+    }
     default:
       throw new FrameError(`unknown frame kind ${r.kind}`);
   }
--- a/src/rollout/release.ts
+++ b/src/rollout/release.ts
@@ -5,7 +5,7 @@
  * What this program is, for controllers of other releases. It grows by one with every landing that changes what
  * controllers say to one another or store. 1 is what says nothing of itself: the releases before this slice.
  */
-export const RELEASE = 3;
+export const RELEASE = 4;
 
 /** New behaviour that waits until every configured controller has it. */
 export interface Feature {
@@ -34,10 +34,16 @@
  * are in force: until then every release reads what is stored, and afterwards earlier ones could do nothing with it.
  */
 export const PAGED_BLOCKS = 'paged-blocks';
+/**
+ * A user is told of a cancellation only when the holders know of it, and a holder that nobody reassures falls silent in
+ * time (docs/cancel-design.md). Nothing is stored in another form, and an earlier release is only told, as before.
+ */
+export const CARRIED_CANCELLATIONS = 'carried-cancellations';
 export const FEATURES: readonly Feature[] = [
   { name: GROUPED_PROGRESS, needs: [], wellForMs: WELL_FOR_MS },
   { name: PIPELINES, needs: [], wellForMs: 0 },
   { name: PAGED_BLOCKS, needs: [], wellForMs: 0 },
+  { name: CARRIED_CANCELLATIONS, needs: [], wellForMs: 0 },
 ];
 
 /** What a controller's key says of its program. */
--- a/src/service/forms.ts
+++ b/src/service/forms.ts
@@ -1,6 +1,6 @@
 import { awaitsOf } from '../jobs/index.js';
 import { blockLimit, foldGuards, type ShardDirectory } from '../membership/index.js';
-import { PAGED_BLOCKS, PIPELINES, type Conductor, type Switches } from '../rollout/index.js';
+import { CARRIED_CANCELLATIONS, PAGED_BLOCKS, PIPELINES, type Conductor, type Switches } from '../rollout/index.js';
 import { JOBS, type Mirror, type StateClient } from '../state/index.js';
 
 export interface FormsDeps {
@@ -36,6 +36,8 @@
   leftOf(feature: string): number {
     const { mirror, state, directory } = this.deps;
     let left = 0;
+    // Nothing of it is stored in another form.
+    if (feature === CARRIED_CANCELLATIONS) return left;
     if (feature === PIPELINES) {
       for (const { value } of mirror.under(JOBS)) if (awaitsOf(value).length > 0) left += 1;
       return left;
--- a/src/service/service.ts
+++ b/src/service/service.ts
@@ -1,4 +1,5 @@
-import { adminRouter, encodeSettings, SETTINGS_FORMAT, SettingsStore, type TrailView } from '../admin/index.js';
+import { adminRouter, SETTINGS_FORMAT, SettingsStore } from '../admin/index.js';
+import { Carrier, leftoverForMs, type BoundFacts } from '../carry/index.js';
 import { CloudClient } from '../cloud/index.js';
 import type { Settings } from '../config/index.js';
 import { ShardHolder, type HolderDeps, type ReportReply } from '../holder/index.js';
@@ -17,9 +18,17 @@
 } from '../kernel/index.js';
 import { Leader } from '../leasing/index.js';
 import { Steward } from '../pipelines/index.js';
-import { Membership, PAGE_FORMAT, SHARD_FORMAT, ShardDirectory, type ShardValue } from '../membership/index.js';
+import {
+  LEASE_MS,
+  Membership,
+  PAGE_FORMAT,
+  SHARD_FORMAT,
+  ShardDirectory,
+  type ShardValue,
+} from '../membership/index.js';
 import { FRAME_VERSION, PeerLink, type PeerMessage, type Received } from '../peers/index.js';
 import {
+  CARRIED_CANCELLATIONS,
   Conductor,
   encodeAnnouncement,
   FEATURES,
@@ -29,14 +38,16 @@
   Switches,
 } from '../rollout/index.js';
 import { JOBS, LIVE, Mirror, PAGES, PROGRESS, SHARDS, StateClient, TYPES, type Change } from '../state/index.js';
-import { encodeRedirect, probeWorkers, PROBES, Reach, type WorkerMessage } from '../workers/index.js';
+import { encodeRedirect, probeWorkers, Reach, type WorkerMessage } from '../workers/index.js';
 import { createApp, laneRoutes, listen, type Handlers, type Listener } from './http.js';
 import { Trail } from '../trail/index.js';
 import { Forms } from './forms.js';
+import { someAddresses } from './reaching.js';
 import { ShardRoutes } from './routes.js';
 import { TypeBook } from './types.js';
 import { rolloutDesk } from './overview.js';
 import { Tenure } from './tenure.js';
+import { trailView } from './trailview.js';
 import { UserDesk } from './users.js';
 
 const FEATURE_NAMES = FEATURES.map(({ name }) => name);
@@ -52,6 +63,7 @@
 const SUMMARY_EVERY_MS = 800;
 /** While this node is cut off from the workers, it asks some again after so long. */
 const PROBE_AGAIN_MS = 800;
+const CARRY_EVERY_MS = 500;
 const REST_FACTOR = 20;
 /** Sockets for the state service, the cloud, the peers and the listeners. */
 const KEPT_SOCKETS = 40;
@@ -74,6 +86,8 @@
   private readonly peers: PeerLink;
   private readonly membership: Membership;
   private readonly registry: JobRegistry;
+  private readonly carrier: Carrier;
+  private readonly bound: BoundFacts;
   private readonly settingsStore: SettingsStore;
   private readonly desk: UserDesk;
   private readonly leader: Leader;
@@ -177,7 +191,7 @@
         pipelines: () => this.forms.pipelines,
         awaits: (id) => this.steward.awaits(id),
         running: (id) => this.routes.running(id),
-        cancelled: (id) => this.peers.broadcast({ kind: 'cancelled', job: id }),
+        carried: (id, final, version) => this.carrier.carried(id, final, version),
         ended: (id, final) => {
           const { phase, done } = final;
           this.trail?.note({ kind: 'ended', job: id, phase, done });
@@ -187,6 +201,18 @@
       runtime,
       log,
     );
+    const { cancelMs, leaseMs } = settings.workers;
+    this.bound = { cancelMs, leaseMs, nodeLeaseMs: LEASE_MS };
+    this.carrier = new Carrier({
+      ...{ self: settings.node, incarnation: this.incarnation, facts: this.bound, runtime, log },
+      ...{ state: this.state, mirror: this.mirror, directory: this.directory, peers: this.peers },
+      others: settings.seeds.map((seed) => seed.node),
+      on: () => this.switches.on(CARRIED_CANCELLATIONS),
+      renewedAt: () => this.membership.heldUntilAtLeast,
+      held: () => [...this.tenure.holders].map(([shard, { claimedAt }]) => [shard, claimedAt] as const),
+      ousted: (shard, version) => this.tenure.oust(shard, version),
+      over: (id, final, version) => this.registry.remember(id, final, version),
+    });
     this.steward = new Steward({
       ...{ registry: this.registry, mirror: this.mirror, runtime, log },
       holds: (shard) => this.tenure.holders.has(shard),
@@ -262,7 +288,11 @@
         ...{ conductor: this.conductor, switches: this.switches, tenure: this.tenure },
         shards: () => this.membership.shards,
       }),
-      this.trail && this.trailView(this.trail),
+      this.trail &&
+        trailView(this.trail, settings, this.incarnation, {
+          types: () => this.types.list ?? [],
+          operator: () => this.settingsStore.current,
+        }),
     );
     this.trail?.note({ kind: 'up' });
     const handlers: Handlers = {
@@ -281,8 +311,9 @@
     const claims = new ReconcileLoop('claims', 200, runtime, log, () => this.claims());
     const summaries = new ReconcileLoop('summaries', SUMMARY_EVERY_MS, runtime, log, () => this.publish());
     const types = new ReconcileLoop('types', 500, runtime, log, () => this.types.learn());
+    const carry = new ReconcileLoop('carry', CARRY_EVERY_MS, runtime, log, () => this.carrier.round());
     const reach = new ReconcileLoop('reach', 200, runtime, log, () => this.checkReach());
-    this.loops.push(session, claims, reach, types, summaries, this.leaderRounds, this.rounds);
+    this.loops.push(session, claims, carry, reach, types, summaries, this.leaderRounds, this.rounds);
     for (const loop of this.loops) loop.start();
     session.nudge();
     log.info({ serve: settings.serveOn, incarnation: this.incarnation }, 'wooddrift is up');
@@ -354,6 +385,8 @@
       operator: () => this.settingsStore.current,
       heldUntil: () => this.membership.heldUntilAtLeast,
       certain: () => this.membership.certain,
+      standing: () => this.carrier.standing,
+      leftoverMs: leftoverForMs(this.bound),
       grouped: () => this.switches.on(GROUPED_PROGRESS),
       nudge: () => this.rounds.nudge(),
       heard: () => this.reach.heard(),
@@ -367,7 +400,7 @@
     for (const holder of this.tenure.holders.values()) machines += holder.machines.size;
     const { reportMs } = this.settings.workers;
     if (this.reach.look(this.runtime.now(), machines, reportMs) === 'nothing') return;
-    const addresses = this.someAddresses();
+    const addresses = someAddresses(this.directory.all, this.tenure.holders, this.runtime);
     const answered = await probeWorkers(addresses, this.runtime);
     if (this.reach.probed(addresses.length, answered)) {
       this.log.info(
@@ -379,18 +412,6 @@
     if (!this.reach.ok) await this.runtime.sleep(PROBE_AGAIN_MS);
   }
 
-  /** Some machines of our blocks; of all, when we have none. */
-  private someAddresses(): string[] {
-    const known = [...this.directory.all].flatMap(([shard, { value }]) =>
-      this.tenure.holders.size === 0 || this.tenure.holders.has(shard) ? value.machines : [],
-    );
-    const chosen = new Set<string>();
-    for (let i = 0; i < PROBES && known.length > 0; i++)
-      chosen.add(known[Math.floor(this.runtime.random() * known.length)]?.address ?? '');
-    chosen.delete('');
-    return [...chosen];
-  }
-
   // ---- workers
 
   private onReport(message: WorkerMessage): ReportReply {
@@ -420,7 +441,13 @@
         this.routes.note(message.summary);
         break;
       case 'cancelled':
-        for (const holder of this.tenure.holders.values()) void holder.onCancelled(message.job);
+        this.registry.heardOver(message.job);
+        for (const holder of this.tenure.holders.values()) holder.onOver(message.job);
+        break;
+      case 'withdrawn':
+      case 'heard':
+      case 'word':
+        this.carrier.onPeer(from, message);
         break;
       case 'transfer':
         for (const holder of this.tenure.holders.values()) holder.transfer(message.machine, message.to);
@@ -458,18 +485,6 @@
     }
   }
 
-  private trailView(trail: Trail): TrailView {
-    const { node, zones, skewMs, teams, objectives, workers, stateLimits, cloudLimits } = this.settings;
-    return {
-      page: (after, most) => ({ node, incarnation: this.incarnation, ...trail.page(after, most) }),
-      facts: () => ({
-        ...{ node, zones, skewMs, teams: Object.fromEntries(teams), objectives },
-        ...{ workers, state: stateLimits, cloud: cloudLimits, types: this.types.list ?? [] },
-        settings: encodeSettings(this.settingsStore.current),
-      }),
-    };
-  }
-
   private status(): unknown {
     return {
       node: this.settings.node,
@@ -478,6 +493,7 @@
       stateAvailable: this.state.available,
       stateLimits: { fallen: this.state.limits.fallen, writeRps: this.state.limits.writeRps },
       pipelines: this.steward.counts,
+      cancellations: this.carrier.status,
       shards: [...this.tenure.holders.values()].map((holder) => holder.summary()),
     };
   }
--- a/src/service/tenure.ts
+++ b/src/service/tenure.ts
@@ -78,9 +78,10 @@
     if (!mine) {
       if (holder) this.drop(shard, holder);
     } else if (holder) holder.onShard(value, changed);
-    else if (value.epoch !== null && this.deps.mirror.seenUpTo < known.version) {
+    else if (this.deps.mirror.seenUpTo < known.version) {
       // A page that the earlier holder had before our claim, and that we have yet to see, is one that it may have used:
-      // taken for new, its machines would not be fenced.
+      // taken for new, its machines would not be fenced. And a job that ended before our claim, of which only the
+      // earlier holder knew, would go on here if the state service were gone before the watch had shown its end.
       void this.deps.mirror.reach(known.version, CAUGHT_UP_MS).then(() => this.look(shard, changed));
     } else {
       this.deps.trail?.note({ kind: 'claimed', shard });
@@ -100,11 +101,18 @@
   standDown(from: NodeName, shard: ShardName, version: number): void {
     const holder = this.holders.get(shard);
     if (holder && holder.claimedAt >= version) return;
-    this.ousted.set(shard, version);
-    if (holder) this.drop(shard, holder);
+    this.oust(shard, version);
     this.deps.peers.send(from, { kind: 'stooddown', shard, version });
   }
 
+  /** Another has claimed a shard in this version: nothing is commanded there any more, whatever the watch shows yet. */
+  oust(shard: ShardName, version: number): void {
+    const holder = this.holders.get(shard);
+    if (holder && holder.claimedAt >= version) return;
+    this.ousted.set(shard, Math.max(version, this.ousted.get(shard) ?? 0));
+    if (holder) this.drop(shard, holder);
+  }
+
   /** Reads afresh whether the shards are still ours; false when that could not be read. */
   async verify(): Promise<boolean> {
     let all = true;
--- a/src/state/keys.ts
+++ b/src/state/keys.ts
@@ -10,6 +10,8 @@
 /** Machines of shards in the paged form: `<shard>.<n>`. */
 export const PAGES = 'live/pages/';
 export const NODES = 'live/nodes/';
+/** Up to which revision a node's watch has come, where it can't say so to its peers. */
+export const SEEN = 'live/seen/';
 export const LEADER = 'live/leader';
 export const SETTINGS = 'live/settings';
 export const TYPES = 'live/types';
@@ -25,3 +27,4 @@
 export const pageKey = (name: ShardName, n: number): string => `${PAGES}${name}.${n}`;
 export const progressKey = (name: ShardName): string => `${PROGRESS}${name}`;
 export const nodeKey = (name: NodeName): string => `${NODES}${name}`;
+export const seenKey = (name: NodeName): string => `${SEEN}${name}`;
--- a/test/registry.test.ts
+++ b/test/registry.test.ts
@@ -37,7 +37,10 @@
 
 interface Desk {
   readonly registry: JobRegistry;
+  /** Whose end was to be carried to the holders before it was said. */
   readonly cancelled: JobId[];
+  /** Do all holders hear of it? */
+  carries: boolean;
   types: MachineType[] | null;
 }
 
@@ -48,6 +51,7 @@
   const cancelled: JobId[] = [];
   const made: Desk = {
     cancelled,
+    carries: true,
     types: [small],
     registry: new JobRegistry(
       client,
@@ -60,7 +64,10 @@
         pipelines: () => true,
         awaits: () => [],
         ended: () => undefined,
-        cancelled: (id) => cancelled.push(id),
+        carried: (id) => {
+          cancelled.push(id);
+          return Promise.resolve(made.carries);
+        },
       },
       runtime,
       log,
@@ -142,6 +149,30 @@
   assert.deepEqual(a.cancelled, [id]);
 });
 
+test('a cancellation that has not reached every holder is told to nobody, however they ask', async () => {
+  const [a, b] = [desk(), desk()];
+  const id = jobId('j-61');
+  const job = spec({ id });
+  await lab.settle(a.registry.submit(job));
+  for (const node of [a, b]) node.carries = false;
+  const asked = [
+    () => a.registry.cancel(id),
+    () => a.registry.cancel(id),
+    () => a.registry.query(id),
+    () => b.registry.query(id),
+    () => b.registry.cancel(id),
+    () => b.registry.submit(job),
+  ];
+  for (const ask of asked) assert.equal((await lab.settle(ask())).kind, 'later');
+  assert.equal(state.get(jobKey(id)), undefined, 'it is stored all the same, and holders are told');
+  assert.deepEqual([...a.cancelled, ...b.cancelled], Array<JobId>(6).fill(id));
+  for (const node of [a, b]) node.carries = true;
+  for (const ask of asked) {
+    const answer = await lab.settle(ask());
+    assert.ok(answer.kind === 'known' && answer.view.phase === 'cancelled');
+  }
+});
+
 test('an accepted job is known whatever settings and machine types say now', async () => {
   const a = desk();
   const job = spec({ id: 'j-7', cpus: 4 });
