--- a/packages/region/src/cli/command.ts
+++ b/packages/region/src/cli/command.ts
@@ -4,7 +4,8 @@
 import { Command, InvalidArgumentError, Option } from 'commander';
 import { createLogger, systemRuntime } from '../../../../src/kernel/index.js';
 import { readDay, type Day } from '../day/index.js';
-import { hunt, playOnce, writeDay } from '../hunt/index.js';
+import { hunt, MEETINGS, playOnce, writeDay } from '../hunt/index.js';
+import { playMeetings, type MeetingFlags } from './meetings.js';
 import {
   ENDED,
   measureChains,
@@ -245,6 +246,22 @@
   .option('--mixed <release>', 'controllers of that earlier release and of this one, replaced by one another')
   .action((day: string, flags: HuntFlags) => huntFor(day, flags));
 
+regionCommand
+  .command('meetings')
+  .description('play drawn pairs of meetings of troubles, and go on where an earlier run stopped')
+  .argument(...dayArgument)
+  .option('--from <n>', 'the first seed', whole, 1)
+  .option('--count <n>', 'how many seeds from there on', whole, 100)
+  .option('--as <release>', 'all controllers are of that release', 'this')
+  .option('--list <file>', 'what was played, a line each; those in it are not played again', 'meetings.jsonl')
+  .addHelpText('after', `\nThey meet two at a time:\n${Object.keys(MEETINGS).join('\n')}`)
+  .action(async (given: string, flags: MeetingFlags) => {
+    const known = releases();
+    known.of(flags.as);
+    const told = (line: string): void => void process.stderr.write(`${line}\n`);
+    if (!(await playMeetings(loadDay(given), flags, known, told))) process.exitCode = 1;
+  });
+
 regionCommand
   .command('check')
   .description('read a day and say what is wrong with it')
--- a/packages/region/src/hunt/index.ts
+++ b/packages/region/src/hunt/index.ts
@@ -1,1 +1,2 @@
 export * from './hunt.js';
+export * from './meetings.js';
--- a/src/carry/carrier.ts
+++ b/src/carry/carrier.ts
@@ -29,18 +29,17 @@
 const MAX_CARRIED = 20_000;
 const NEVER = millis(Number.NEGATIVE_INFINITY);
 
-/** The ends of controllers' lives that only a key can tell. */
 export interface CarrierDeps {
   readonly self: NodeName;
   readonly incarnation: Incarnation;
   readonly others: readonly NodeName[];
   readonly facts: BoundFacts;
-  readonly runtime: Runtime;
-  readonly log: Logger;
-  readonly state: StateClient;
-  readonly mirror: Mirror;
-  readonly directory: ShardDirectory;
-  readonly peers: PeerLink;
+  readonly runtime: Pick<Runtime, 'now' | 'after'>;
+  readonly log: Pick<Logger, 'info' | 'warn'>;
+  readonly state: Pick<StateClient, 'txn'>;
+  readonly mirror: Pick<Mirror, 'get' | 'apply' | 'reach' | 'seenUpTo' | 'loaded' | 'changes'>;
+  readonly directory: Pick<ShardDirectory, 'all'>;
+  readonly peers: Pick<PeerLink, 'send' | 'statusOf'>;
   /** Do all controllers take part? */
   on(): boolean;
   /** When this node's lease was last renewed while nobody could have claimed its shards. */
