--- a/src/carry/carrier.ts
+++ b/src/carry/carrier.ts
@@ -16,7 +16,7 @@
 import type { PeerLink, PeerMessage, Word } from '../peers/index.js';
 import { CARRIED_CANCELLATIONS, decodeAnnouncement } from '../rollout/index.js';
 import { jobKey, nodeKey, seenKey, Urgency, type Mirror, type StateClient } from '../state/index.js';
-import { reassuredAt, standingOf, type BoundFacts, type Standing } from './bound.js';
+import { answersForMs, reassuredAt, standingOf, type BoundFacts, type Standing } from './bound.js';
 import { missingFor, type HeldBy, type Lives } from './missing.js';
 
 /** So long a user's answer waits for the holders; then it is to come back, and the word goes on meanwhile. */
@@ -26,6 +26,7 @@
 const HEARS_US_MS = 2500;
 const SEEN_EVERY_MS = 1000;
 const MAX_OPEN = 4000;
+const AT_ONCE = 200;
 const MAX_CARRIED = 20_000;
 const NEVER = millis(Number.NEGATIVE_INFINITY);
 
@@ -260,9 +261,12 @@
     const { deps } = this;
     const now = deps.runtime.now();
     this.note(now);
-    for (const [job, open] of [...this.open]) {
+    // A few at a time, those that were looked at longest ago: what is owed grows with an outage.
+    for (const [job, open] of [...this.open].slice(0, AT_ONCE)) {
       this.check(job);
-      if (!this.open.has(job) || deps.mirror.seenUpTo < open.version) continue;
+      if (!this.open.delete(job)) continue;
+      this.open.set(job, open);
+      if (deps.mirror.seenUpTo < open.version) continue;
       // Once more, to those who haven't answered: a frame, a connection or a life may have been lost.
       const missing = missingFor(this.shards(), this.lives(open));
       this.tell(job, open, new Set(missing.map(({ node }) => node)));
@@ -328,13 +332,16 @@
   /** For operators. */
   get status(): unknown {
     const now = this.deps.runtime.now();
-    const [oldest] = this.open.values();
+    const waits = [...this.open.values()].map(({ since }) => now - since);
     const reassured = Math.max(0, now - this.reassured);
     return {
       standing: this.standing,
       reassuredSAgo: Number.isFinite(reassured) ? Math.round(reassured / 100) / 10 : null,
+      answersForS: Number.isFinite(reassured)
+        ? Math.max(0, Math.round((answersForMs(this.deps.facts) - reassured) / 100) / 10)
+        : null,
       notYetHeard: this.open.size,
-      oldestS: oldest ? Math.round((now - oldest.since) / 100) / 10 : 0,
+      oldestS: Math.round(Math.max(0, ...waits) / 100) / 10,
     };
   }
 }
