--- a/packages/region/src/cli/command.ts
+++ b/packages/region/src/cli/command.ts
@@ -8,6 +8,7 @@
 import { playMeetings, type MeetingFlags } from './meetings.js';
 import {
   ENDED,
+  measureCancels,
   measureChains,
   measureChanges,
   measureRecovery,
@@ -331,6 +332,16 @@
     for (const grouped of [false, true])
       process.stdout.write(`${JSON.stringify(await measureChanges(machines, seed, grouped))}\n`);
   });
+measure
+  .command('cancels')
+  .description('how long users wait until they are told that a job is cancelled, without troubles')
+  .option('--machines <n>', 'in the fleet', whole, 900)
+  .option('--seeds <n>', 'so many seeds, from 1', whole, 2)
+  .option('--as <release>', 'all controllers are of that release', 'this')
+  .action(async (flags: { machines: number; seeds: number; as: string }) => {
+    for (let seed = 1; seed <= flags.seeds; seed++)
+      process.stdout.write(`${JSON.stringify(await measureCancels(flags.machines, seed, flags.as, releases()))}\n`);
+  });
 measure
   .command('chains')
   .description('how soon the steps of chains follow each other, and what storing a day takes, by kind of record')
--- a/packages/region/src/measure/index.ts
+++ b/packages/region/src/measure/index.ts
@@ -1,3 +1,4 @@
+export * from './cancels.js';
 export * from './chains.js';
 export * from './fleet.js';
 export * from './recovery.js';
--- a/packages/region/test/meetings.test.ts
+++ b/packages/region/test/meetings.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { drawMeeting, MEETINGS } from '../src/hunt/index.js';
+import { onCancelled } from '../src/measure/index.js';
 import { Luck, Region, type Day, type DayResult, type Trouble } from '../src/index.js';
 import { played, shippedDay, shortDay } from './days.js';
 
@@ -84,16 +85,13 @@
   }
 });
 
-/** When users were told of cancellations, in seconds. */
+/** How many users were told of cancellations between two moments, in seconds. */
 async function toldIn(day: Day, fromS: number, toS: number): Promise<number> {
   const region = new Region({ day });
   let told = 0;
-  const { checker } = region.parts;
-  const answered = checker.cancelAnswered.bind(checker);
-  checker.cancelAnswered = (ref, status, phase) => {
-    if (phase === 'withdrawn' && region.now > fromS * 1000 && region.now < toS * 1000) told += 1;
-    answered(ref, status, phase);
-  };
+  onCancelled(region, (_ref, _askedAt, at) => {
+    if (at > fromS * 1000 && at < toS * 1000) told += 1;
+  });
   await region.play();
   const { breaches, defects } = region.close();
   assert.deepEqual([breaches, defects], [[], []]);
