--- a/packages/region/test/meetings.test.ts
+++ b/packages/region/test/meetings.test.ts
@@ -123,6 +123,15 @@
   assert.equal(said(alone, 'this holder is reassured again').length, 1);
 });
 
+test('users of a controller that hears neither the state service nor the others are served elsewhere before they are forgotten', async () => {
+  // Longer than the 90 s after which a job counts as forgotten while others are answered.
+  const alone: Trouble = {
+    ...{ kind: 'controller_cut', at_s: 45, for_s: 110, controller: 2 },
+    ...{ from: 'state and controllers', manner: 'hold' },
+  };
+  for (const seed of [12, 13]) await kept(cancelling([alone], seed, 170));
+});
+
 test('each meeting of the page alone keeps every rule', async () => {
   for (const [i, [name, draw]] of Object.entries(MEETINGS).entries()) {
     const base = shortDay(150, [], 40 + i);
--- a/src/service/service.ts
+++ b/src/service/service.ts
@@ -42,6 +42,7 @@
 import { createApp, laneRoutes, listen, type Handlers, type Listener } from './http.js';
 import { Trail } from '../trail/index.js';
 import { Forms } from './forms.js';
+import { Health } from './health.js';
 import { someAddresses } from './reaching.js';
 import { ShardRoutes } from './routes.js';
 import { TypeBook } from './types.js';
@@ -101,6 +102,7 @@
   private readonly types: TypeBook;
   private readonly forms: Forms;
   private readonly reach: Reach;
+  private readonly health = new Health();
   private readonly sockets: SocketBudget;
   private readonly rounds: ReconcileLoop;
   private readonly leaderRounds: ReconcileLoop;
@@ -338,12 +340,10 @@
   }
 
   private healthy(): boolean {
-    if (!this.mirror.loaded || !this.membership.registered) return false;
-    // Users go elsewhere before this node is ended, as long as there is somebody to go to.
-    if (!this.tenure.mayTake) return false;
-    if (this.state.available) return true;
-    // In an outage that hits all, nodes stay healthy: coming back after a removal is slow.
-    return !this.peers.names.some((node) => this.peers.statusOf(node)?.stateOk === true);
+    const ready = this.mirror.loaded && this.membership.registered;
+    const others = this.peers.names.map((node) => this.peers.statusOf(node)?.stateOk ?? null);
+    const { mayTake } = this.tenure;
+    return this.health.look({ ready, mayTake, stateOk: this.state.available, others }, this.runtime.now());
   }
 
   // ---- shards
