--- a/packages/region/src/cli/command.ts
+++ b/packages/region/src/cli/command.ts
@@ -5,6 +5,7 @@
 import { createLogger, systemRuntime } from '../../../../src/kernel/index.js';
 import { readDay, type Day } from '../day/index.js';
 import { hunt, MEETINGS, playOnce, writeDay } from '../hunt/index.js';
+import { UsageError } from './errors.js';
 import { playMeetings, type MeetingFlags } from './meetings.js';
 import {
   ENDED,
@@ -29,9 +30,6 @@
 const releases = (): Releases =>
   new Releases(join(dirname(realpathSync(process.argv[1] ?? '.')), '..', 'packages', 'region', 'frozen'));
 
-/** What was asked for is not there, or makes no sense. */
-export class UsageError extends Error {}
-
 function loadDay(given: string): Day {
   const shipped = SHIPPED_DAYS[given];
   if (shipped !== undefined) return readDay(shipped, `${given}.toml`);
--- a/packages/region/src/cli/meetings.ts
+++ b/packages/region/src/cli/meetings.ts
@@ -3,6 +3,7 @@
 import type { Day } from '../day/index.js';
 import { drawMeeting, playOnce } from '../hunt/index.js';
 import type { Releases } from '../releases/index.js';
+import { UsageError } from './errors.js';
 
 export interface MeetingFlags {
   readonly from: number;
@@ -14,9 +15,6 @@
 const lineSchema = v.object({ seed: v.number(), as: v.string(), broken: v.array(v.string()) });
 type Line = v.InferOutput<typeof lineSchema>;
 
-/** A list that is not one of ours. */
-export class ListError extends Error {}
-
 function readList(file: string): Line[] {
   if (!existsSync(file)) return [];
   const lines = readFileSync(file, 'utf8').split('\n');
@@ -27,7 +25,7 @@
     } catch {
       // The last one may be cut short: that run was stopped while it was written.
       if (i === lines.length - 1) return [];
-      throw new ListError(`${file}, line ${i + 1}: not a line of this list`);
+      throw new UsageError(`${file}, line ${i + 1}: not a line of this list`);
     }
   });
 }
