--- a/packages/region/src/cli/command.ts
+++ b/packages/region/src/cli/command.ts
@@ -4,9 +4,7 @@
 import { Command, InvalidArgumentError, Option } from 'commander';
 import { createLogger, systemRuntime } from '../../../../src/kernel/index.js';
 import { readDay, type Day } from '../day/index.js';
-import { hunt, MEETINGS, playOnce, writeDay } from '../hunt/index.js';
-import { UsageError } from './errors.js';
-import { playMeetings, type MeetingFlags } from './meetings.js';
+import { hunt, MEETINGS, playMeetings, playOnce, writeDay, type MeetingFlags } from '../hunt/index.js';
 import {
   ENDED,
   measureCancels,
@@ -23,6 +21,9 @@
 import { settingsFor } from '../settings.js';
 import { loopbackSeats, serveRegion } from '../real.js';
 
+/** What was asked for is not there, or makes no sense. */
+export class UsageError extends Error {}
+
 /** The days that ship with the package, as TOML by name; put in when the bundle is made. */
 declare const SHIPPED_DAYS: Readonly<Record<string, string>>;
 
--- a/packages/region/src/cli/index.ts
+++ b/packages/region/src/cli/index.ts
@@ -1,2 +1,1 @@
-export { regionCommand } from './command.js';
-export { UsageError } from './errors.js';
+export { regionCommand, UsageError } from './command.js';
--- a/packages/region/src/hunt/index.ts
+++ b/packages/region/src/hunt/index.ts
@@ -1,2 +1,3 @@
 export * from './hunt.js';
 export * from './meetings.js';
+export * from './playlist.js';
--- a/packages/region/src/cli/meetings.ts
+++ b/packages/region/src/hunt/playlist.ts
@@ -1,9 +1,10 @@
 import { appendFileSync, existsSync, readFileSync } from 'node:fs';
 import * as v from 'valibot';
 import type { Day } from '../day/index.js';
-import { drawMeeting, playOnce } from '../hunt/index.js';
+
 import type { Releases } from '../releases/index.js';
-import { UsageError } from './errors.js';
+import { playOnce } from './hunt.js';
+import { drawMeeting } from './meetings.js';
 
 export interface MeetingFlags {
   readonly from: number;
@@ -15,6 +16,9 @@
 const lineSchema = v.object({ seed: v.number(), as: v.string(), broken: v.array(v.string()) });
 type Line = v.InferOutput<typeof lineSchema>;
 
+/** A list that is not one of ours. */
+export class ListError extends Error {}
+
 function readList(file: string): Line[] {
   if (!existsSync(file)) return [];
   const lines = readFileSync(file, 'utf8').split('\n');
@@ -25,7 +29,7 @@
     } catch {
       // The last one may be cut short: that run was stopped while it was written.
       if (i === lines.length - 1) return [];
-      throw new UsageError(`${file}, line ${i + 1}: not a line of this list`);
+      throw new ListError(`${file}, line ${i + 1}: not a line of this list`);
     }
   });
 }
--- a/packages/region/src/index.ts
+++ b/packages/region/src/index.ts
@@ -12,3 +12,4 @@
 export * from './sim/index.js';
 export * from './testkit.js';
 export type { AimResult, ClassResult, Quantiles } from './daybook.js';
+export { ListError } from './hunt/index.js';
--- a/packages/region/test/meetings.test.ts
+++ b/packages/region/test/meetings.test.ts
@@ -1,8 +1,11 @@
 import assert from 'node:assert/strict';
+import { mkdtempSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
 import { test } from 'node:test';
-import { drawMeeting, MEETINGS } from '../src/hunt/index.js';
+import { drawMeeting, MEETINGS, playMeetings } from '../src/hunt/index.js';
 import { onCancelled } from '../src/measure/index.js';
-import { Luck, Region, type Day, type DayResult, type Trouble } from '../src/index.js';
+import { Luck, Region, Releases, type Day, type DayResult, type Trouble } from '../src/index.js';
 import { played, shippedDay, shortDay } from './days.js';
 
 /** Meetings of two troubles, by docs/meetings.md: rules broke where each alone broke none. */
@@ -146,3 +149,24 @@
     assert.deepEqual([breaches, defects], [[], []], String(seed));
   }
 });
+
+test('a list of meetings is gone on with: what it names is not played again, its cut end is left out, another file is refused', async () => {
+  const list = join(mkdtempSync(join(tmpdir(), 'meetings-')), 'list.jsonl');
+  const told: string[] = [];
+  const go = (from: number): Promise<boolean> =>
+    playMeetings(
+      shippedDay('quiet'),
+      { from, count: 2, as: 'this', list },
+      new Releases('packages/region/frozen'),
+      (line) => told.push(line),
+    );
+  const line = (seed: number, broken: string[]): string => JSON.stringify({ seed, as: 'this', broken, names: [] });
+  writeFileSync(list, `${line(1, [])}\n${line(2, [])}\n{"seed":3,"as":"th`);
+  assert.equal(await go(1), true);
+  assert.deepEqual(told, ['2 listed, 0 broke a rule: ']);
+  writeFileSync(list, `${line(1, ['forgotten'])}\n${line(2, [])}\n`);
+  assert.equal(await go(1), false);
+  assert.equal(told.at(-1), '2 listed, 1 broke a rule: 1');
+  writeFileSync(list, 'something else\n\n');
+  await assert.rejects(go(1), /list\.jsonl, line 1: not a line of this list/);
+});
