--- a/src/carry/carrier.ts
+++ b/src/carry/carrier.ts
@@ -17,7 +17,7 @@
 import { CARRIED_CANCELLATIONS, decodeAnnouncement } from '../rollout/index.js';
 import { jobKey, nodeKey, seenKey, Urgency, type Mirror, type StateClient } from '../state/index.js';
 import { answersForMs, reassuredAt, standingOf, type BoundFacts, type Standing } from './bound.js';
-import { missingFor, type HeldBy, type Lives } from './missing.js';
+import { missingFor, type HeldBy, type Lives, type Missing } from './missing.js';
 
 /** So long a user's answer waits for the holders; then it is to come back, and the word goes on meanwhile. */
 const ANSWER_WITHIN_MS = 700;
@@ -139,11 +139,13 @@
     for (const waiter of [...open.waiters]) waiter(carried);
   }
 
-  /** Is there nobody left who may run tasks of it unknowingly? As of a moment after it was stored. */
-  private check(job: JobId): void {
+  /** Who may still run tasks of it unknowingly, as of a moment after it was stored; nobody: it is carried. */
+  private check(job: JobId): readonly Missing[] {
     const open = this.open.get(job);
-    if (!open || this.deps.mirror.seenUpTo < open.version) return;
-    if (missingFor(this.shards(), this.lives(open)).length === 0) this.settle(job, open, true);
+    if (!open || this.deps.mirror.seenUpTo < open.version) return [];
+    const missing = missingFor(this.shards(), this.lives(open));
+    if (missing.length === 0) this.settle(job, open, true);
+    return missing;
   }
 
   private *shards(): Iterable<HeldBy> {
@@ -263,12 +265,10 @@
     this.note(now);
     // A few at a time, those that were looked at longest ago: what is owed grows with an outage.
     for (const [job, open] of [...this.open].slice(0, AT_ONCE)) {
-      this.check(job);
+      const missing = this.check(job);
       if (!this.open.delete(job)) continue;
       this.open.set(job, open);
-      if (deps.mirror.seenUpTo < open.version) continue;
       // Once more, to those who haven't answered: a frame, a connection or a life may have been lost.
-      const missing = missingFor(this.shards(), this.lives(open));
       this.tell(job, open, new Set(missing.map(({ node }) => node)));
     }
     if (now - this.wordsAt >= WORD_EVERY_MS) {
