Late answers bring nothing back into the mirror; tasks of unknown jobs hold limited teams back; mute machines; fields that are missing

- A read's or own write's answer that comes after the watch has passed what it says was applied all the same: a job that was over came back into this node's mirror, was called pending again and could be taken up by its holder.
- After a claim, tasks of jobs cancelled before it counted for no team: a team at its limit went beyond it.
- A machine that answers commands and reaches no controller was used again and again while its leases ran out.
The sample in the input test lacked such fields itself and now has them; its assertions are the same and more.

--- a/src/holder/held.ts
+++ b/src/holder/held.ts
@@ -1,4 +1,4 @@
-import { decodeRecord, isForeignJob, type JobSpec } from '../jobs/index.js';
+import { decodeRecord, decodeSpec, isForeignJob, type JobSpec } from '../jobs/index.js';
 import {
   isObject,
   jobId,
@@ -14,7 +14,14 @@
 } from '../kernel/index.js';
 import type { PreviousHolder, ShardValue } from '../membership/index.js';
 import { jobKey, JOBS, progressKey, shardKey, type Change } from '../state/index.js';
-import { Whereabouts, encodeRedirect, encodeReply, type ListedTask, type WorkerMessage } from '../workers/index.js';
+import {
+  Whereabouts,
+  encodeRedirect,
+  encodeReply,
+  type ListedTask,
+  type MachineBelief,
+  type WorkerMessage,
+} from '../workers/index.js';
 import { bookingOf, type Booking } from './booking.js';
 import { takeExit } from './exits.js';
 import { forgets } from './forgetting.js';
@@ -287,6 +294,7 @@
     }
     machine.courier.setAddress(message.address);
     if (verdict === 'taken') {
+      machine.reportedAt = now;
       const noticed = (message.noticeS === null) !== (machine.noticeUntil === null);
       machine.noticeUntil = message.noticeS === null ? null : millis(now + message.noticeS * 1000);
       if (noticed && message.noticeS !== null)
@@ -433,6 +441,16 @@
 
   readonly specOf = (id: JobId): JobSpec | null => this.jobs.get(id)?.spec ?? null;
 
+  /** The same for any job that is stored as open, of whatever shard. */
+  readonly storedSpecOf = (id: JobId): JobSpec | null => {
+    const stored = this.jobs.has(id) ? undefined : this.deps.mirror.get(jobKey(id));
+    return stored ? decodeSpec(stored.value) : this.specOf(id);
+  };
+
+  *beliefs(): Iterable<MachineBelief> {
+    for (const { belief } of this.machines.values()) yield belief;
+  }
+
   /** How long a task may save before it is gone, or null when it may stay. */
   graceOf(machine: HeldMachine, listed: ListedTask, now: Millis): number | null {
     const run = this.jobs.get(listed.job);
--- a/src/holder/holder.ts
+++ b/src/holder/holder.ts
@@ -177,12 +177,20 @@
     return few && machine.courier.failures >= SILENT_TRIES && heldMs > SILENT_FOR_MS;
   }
 
+  /** Tasks of jobs that nobody knows any more, which keep teams with a limit from starting anything. */
+  get heldBackBy(): number {
+    return this.starts.heldBackBy;
+  }
+
   summary(): ShardSummary {
     const now = this.deps.runtime.now();
     const machines: MachineSummary[] = [];
+    const { reportMs, leaseMs } = this.deps.settings.workers;
     let heardLately = 0;
-    for (const machine of this.machines.values()) {
-      if (now - machine.belief.lastHeardAt < 2.5 * this.deps.settings.workers.reportMs) heardLately += 1;
+    let reportedLately = 0;
+    for (const { belief, reportedAt } of this.machines.values()) {
+      if (now - belief.lastHeardAt < 2.5 * reportMs) heardLately += 1;
+      if (now - reportedAt < 2.5 * reportMs) reportedLately += 1;
     }
     for (const machine of this.machines.values()) {
       const booking = this.bookingOf(machine, now);
@@ -191,9 +199,9 @@
       const unknown = this.claimFence.has(machine.id) && this.givenUpOn(machine, now);
       // Silent for reports and for commands while others of the block are heard: not our own network.
       const dead =
-        machine.courier.failures >= 2 &&
-        silentMs > 2 * this.deps.settings.workers.reportMs + 1500 &&
-        heardLately * 2 > this.machines.size;
+        machine.courier.failures >= 2 && silentMs > 2 * reportMs + 1500 && heardLately * 2 > this.machines.size;
+      // It answers commands and reaches no controller, while others of the block do: no lease of its lasts.
+      const mute = now - machine.reportedAt > leaseMs + 2 * reportMs && reportedLately * 2 > this.machines.size;
       machines.push({
         id: machine.id,
         type: machine.info.type,
@@ -208,7 +216,7 @@
         empty: machine.belief.empty,
         // Others send jobs and machines by this: what is only said to be usable makes jobs go in circles.
         usable: booking?.known === true && this.starts.sound(machine, now),
-        lost: machine.lost || dead || unknown,
+        lost: machine.lost || dead || mute || unknown,
         faulty: machine.faulty(now),
         images: machine.imageList,
       });
--- a/src/holder/index.ts
+++ b/src/holder/index.ts
@@ -4,3 +4,4 @@
 export { JobRun } from './run.js';
 export { mustLeave } from './departures.js';
 export { planGroup } from './grouping.js';
+export { teamUse, type TeamAccount } from './teamuse.js';
--- a/src/holder/starts.ts
+++ b/src/holder/starts.ts
@@ -2,7 +2,6 @@
 import type { Moves } from './moves.js';
 import {
   attempt,
-  parseTaskKey,
   taskKey,
   type Attempt,
   type JobId,
@@ -24,6 +23,7 @@
 } from '../placement/index.js';
 import type { Order } from '../workers/index.js';
 import type { HeldMachine } from './machine.js';
+import { teamUse } from './teamuse.js';
 import type { JobRun } from './run.js';
 
 const maxReserve = (a: Reserve | null, b: Reserve): Reserve => ({
@@ -69,7 +69,8 @@
       !machine.leaving &&
       machine.noticeUntil === null &&
       machine.courier.failures === 0 &&
-      now - belief.lastHeardAt < 2.5 * this.held.deps.settings.workers.reportMs + 500 &&
+      // One that answers commands and reaches no controller loses its lease, and what is started there, again and again.
+      now - Math.min(belief.lastHeardAt, machine.reportedAt) < 2.5 * this.held.deps.settings.workers.reportMs + 500 &&
       !machine.faulty(now) &&
       !operator.cordoned.has(machine.id) &&
       !operator.drained.has(machine.id)
@@ -136,26 +137,20 @@
     return this.largestGpuTask;
   }
 
-  /** Only teams with a limit; everything possibly there counts. */
-  private teamUse(): Map<string, TeamUse> {
-    const use = new Map<string, TeamUse>();
-    for (const [name, team] of this.held.deps.settings.teams) {
-      if (team.cpusMax > 0 || team.gpusMax > 0)
-        use.set(name, { cpus: 0, gpus: 0, cpusMax: team.cpusMax, gpusMax: team.gpusMax });
-    }
-    if (use.size === 0) return use;
-    for (const machine of this.held.machines.values()) {
-      const keys = new Set<TaskKey>(machine.belief.pendingStarts.keys());
-      for (const [key, listed] of machine.belief.tasks) if (listed.state !== 'exited') keys.add(key);
-      for (const key of keys) {
-        const parsed = parseTaskKey(key);
-        const spec = parsed ? this.held.specOf(parsed.job) : null;
-        const team = spec ? use.get(spec.team) : undefined;
-        if (!spec || !team) continue;
-        team.cpus += spec.cpus;
-        team.gpus += spec.gpus;
-      }
-    }
+  /** How many tasks of unknown jobs keep teams with a limit from starting anything; 0: none. */
+  heldBackBy = 0;
+
+  private teamUse(): ReadonlyMap<string, TeamUse> {
+    const { settings, log } = this.held.deps;
+    const { use, unknown } = teamUse(settings.teams, this.held.beliefs(), this.held.storedSpecOf);
+    if (unknown > 0 !== this.heldBackBy > 0)
+      log.info(
+        { shard: this.held.shard, teams: [...use.keys()], tasks: unknown },
+        unknown > 0
+          ? 'teams with a limit start nothing: tasks of jobs that nobody knows any more may be theirs'
+          : 'teams with a limit start again',
+      );
+    this.heldBackBy = unknown;
     return use;
   }
 
--- a/src/jobs/wire.ts
+++ b/src/jobs/wire.ts
@@ -21,6 +21,7 @@
 const amount = v.pipe(v.number(), v.finite(), v.minValue(0), v.maxValue(1e9));
 const choice = (names: string[]): v.GenericSchema<string, string> => v.picklist(names);
 
+/** Only what may be null may be left out: a job that lacks anything else is refused, not guessed at. */
 const schema = v.object({
   ref: v.pipe(v.string(), v.regex(ID, 'must be a job id such as j-000412')),
   jobclass: text,
@@ -29,18 +30,18 @@
   urgency: choice(Object.keys(PRIORITIES)),
   pieces: v.pipe(v.number(), v.integer(), v.minValue(1), v.maxValue(100_000)),
   vcpus: amount,
-  accelerators: v.nullish(amount, 0),
+  accelerators: amount,
   ram_gb: amount,
   hulls: v.nullish(v.pipe(v.array(text), v.minLength(1), v.maxLength(200))),
   berth: v.nullish(text),
-  same_place: v.nullish(v.boolean(), false),
-  scatter: v.nullish(v.boolean(), false),
-  flotsam: v.nullish(v.boolean(), false),
-  bundle: v.nullish(v.pipe(v.string(), v.maxLength(200)), ''),
-  pull_gb: v.nullish(amount, 0),
-  expected_s: v.nullish(amount, 0),
-  mark_every_s: v.nullish(amount, 0),
-  mark_cost_s: v.nullish(amount, 0),
+  same_place: v.boolean(),
+  scatter: v.boolean(),
+  flotsam: v.boolean(),
+  bundle: v.pipe(v.string(), v.maxLength(200)),
+  pull_gb: amount,
+  expected_s: amount,
+  mark_every_s: amount,
+  mark_cost_s: amount,
   due_s: v.nullish(amount),
   awaits: v.nullish(v.array(v.pipe(v.string(), v.regex(ID, 'must be a job id such as j-000412'))), []),
 });
--- a/src/service/service.ts
+++ b/src/service/service.ts
@@ -493,7 +493,7 @@
       stateAvailable: this.state.available,
       stateLimits: { fallen: this.state.limits.fallen, writeRps: this.state.limits.writeRps },
       pipelines: this.steward.counts,
-      cancellations: this.carrier.status,
+      ...{ cancellations: this.carrier.status, heldBack: this.tenure.heldBack },
       shards: [...this.tenure.holders.values()].map((holder) => holder.summary()),
     };
   }
--- a/src/service/tenure.ts
+++ b/src/service/tenure.ts
@@ -193,6 +193,13 @@
       this.homeSince.delete(shard);
   }
 
+  /** Where teams with a limit start nothing, and how many tasks of jobs that nobody knows any more are why. */
+  get heldBack(): { readonly shard: ShardName; readonly tasksOfUnknownJobs: number }[] {
+    return [...this.holders.values()]
+      .filter(({ heldBackBy }) => heldBackBy > 0)
+      .map(({ shard, heldBackBy }) => ({ shard, tasksOfUnknownJobs: heldBackBy }));
+  }
+
   // ---- leaving
 
   get leaving(): boolean {
--- a/src/state/mirror.ts
+++ b/src/state/mirror.ts
@@ -27,7 +27,7 @@
   private waiters: { readonly upTo: Revision; readonly resolve: (fresh: boolean) => void }[] = [];
 
   constructor(
-    private readonly client: StateClient,
+    private readonly client: Pick<StateClient, 'list' | 'follow'>,
     private readonly prefix: string,
     private readonly runtime: Runtime,
     private readonly log: Logger,
@@ -90,7 +90,7 @@
     const fresh = new Set(listed.entries.map((entry) => entry.key));
     for (const directory of [...this.directories.values()]) {
       for (const key of [...directory.keys()]) {
-        if (!fresh.has(key)) this.apply({ key, value: undefined, removed: true, version: listed.revision });
+        if (!fresh.has(key)) this.take({ key, value: undefined, removed: true, version: listed.revision });
       }
     }
     await this.takeIn(listed.entries.map((e) => ({ key: e.key, value: e.value, removed: false, version: e.version })));
@@ -104,15 +104,23 @@
     for (const [i, change] of changes.entries()) {
       if (i > 0 && i % CHANGES_AT_ONCE === 0) await this.runtime.sleep(0);
       try {
-        this.apply(change);
+        this.take(change);
       } catch (error) {
         this.log.error({ err: error, key: change.key }, 'a change could not be taken in');
       }
     }
   }
 
-  /** Takes in a change that this node made or read itself, ahead of the watch. */
+  /**
+   * Takes in a change that this node made or read itself, ahead of the watch. What the watch has passed says nothing
+   * any more: the answer to a read or to a write of this node's own may be so late that the key has been removed since,
+   * and would bring back a job that users have been told is over.
+   */
   apply(change: Change): void {
+    if (this.at === undefined || change.version > this.at) this.take(change);
+  }
+
+  private take(change: Change): void {
     const known = this.get(change.key);
     if (known && known.version >= change.version && !(change.removed && known.version === change.version)) return;
     const name = directoryOf(change.key);
--- a/test/input.test.ts
+++ b/test/input.test.ts
@@ -49,7 +49,14 @@
   bundle: 'i',
   pull_gb: 1.0,
   hulls: null,
+  berth: null,
+  same_place: false,
+  scatter: false,
+  flotsam: true,
   expected_s: 10.0,
+  mark_every_s: 0.0,
+  mark_cost_s: 0.0,
+  due_s: null,
 };
 
 test('settings: unknown fields are ignored; what is missing or wrong is named in one line', () => {
@@ -90,6 +97,19 @@
   for (const body of [null, [], 'text', 3, {}]) assert.ok(!parseSubmission(body).ok);
 });
 
+test('submissions: only what may be null may be left out; a field that is missing or null is named', () => {
+  const nullable = ['hulls', 'berth', 'due_s'];
+  for (const field of Object.keys(submission)) {
+    const without: Record<string, unknown> = { ...submission };
+    delete without[field];
+    for (const body of [without, { ...submission, [field]: null }]) {
+      const parsed = parseSubmission(body);
+      assert.equal(parsed.ok, nullable.includes(field), field);
+      if (!parsed.ok) assert.ok(parsed.reason.startsWith(field), parsed.reason);
+    }
+  }
+});
+
 test('ids of no valid form name no job', () => {
   assert.equal(parseJobId('j-000412'), 'j-000412');
   for (const id of ['', 'j-', 'j-1/2', 'k-1', 'j-a b', '../live', `j-${'9'.repeat(200)}`])
@@ -121,6 +141,13 @@
   assert.match(why({ owner: 'u' }) ?? '', /unknown team/);
   assert.match(why({ vcpus: 5.0 }) ?? '', /fits no allowed machine type/);
   assert.match(why({ hulls: ['other'] }) ?? '', /fits no allowed machine type/);
+  assert.equal(why({ berth: 'z' }), null);
+  assert.match(why({ berth: 'nowhere' }) ?? '', /fits no allowed machine type/);
+  // Two tasks at once in one zone, of which at most one may be there; an array's take turns.
+  assert.match(why({ pieces: 2, shape: 'ensemble', scatter: true, same_place: true }) ?? '', /one zone/);
+  assert.match(why({ pieces: 2, shape: 'daemon', scatter: true, berth: 'z' }) ?? '', /one zone/);
+  assert.equal(why({ pieces: 1, shape: 'ensemble', scatter: true, same_place: true }), null);
+  assert.equal(why({ pieces: 2, scatter: true, same_place: true }), null);
   // An array needs one task within the limit, a gang and a service all of them.
   assert.equal(why({ pieces: 50, vcpus: 4.0 }), null);
   assert.match(why({ pieces: 3, vcpus: 4.0, shape: 'ensemble' }) ?? '', /cpus/);
--- /dev/null
+++ b/test/mirror.test.ts
@@ -0,0 +1,123 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { revision, type Revision } from '../src/kernel/index.js';
+import { Mirror, type Change } from '../src/state/index.js';
+import { Lab } from '../packages/region/src/index.js';
+
+const KEYS = ['live/jobs/a', 'live/jobs/b'];
+const REST_MS = 150;
+
+/** What is under way comes to rest, and the watch is opened again. */
+async function followed(lab: Lab): Promise<void> {
+  await lab.settle(Promise.resolve());
+  await lab.pass(REST_MS);
+  await lab.settle(Promise.resolve());
+}
+
+/** The state service as far as a mirror sees it: every change in order, shown by the watch when the test says so. */
+class Store {
+  readonly log: Change[] = [];
+  private shown = 0;
+  private waiting: ((page: { changes: Change[]; revision: Revision }) => void) | undefined;
+
+  list = (): Promise<{ entries: never[]; revision: Revision }> =>
+    Promise.resolve({ entries: [], revision: revision(0) });
+
+  follow = (_prefix: string, after: Revision): Promise<{ changes: Change[]; revision: Revision }> =>
+    new Promise((resolve) => {
+      this.waiting = resolve;
+      if (after < this.shown) this.answer(after);
+    });
+
+  private answer(after: number): void {
+    const { waiting } = this;
+    this.waiting = undefined;
+    waiting?.({ changes: this.log.slice(after, this.shown), revision: revision(this.shown) });
+  }
+
+  write(key: string, removed: boolean): Change {
+    const version = revision(this.log.length + 1);
+    const change: Change = { key, value: removed ? undefined : { of: version }, removed, version };
+    this.log.push(change);
+    return change;
+  }
+
+  /** What a read gets now, as whoever made it would take it into its mirror; null: nothing is there. */
+  read(key: string): Change | null {
+    const last = [...this.log].reverse().find((change) => change.key === key);
+    return last && !last.removed ? last : null;
+  }
+
+  show(upTo: number): void {
+    const after = this.shown;
+    this.shown = Math.min(this.log.length, Math.max(after, upTo));
+    if (this.shown > after) this.answer(after);
+  }
+
+  /** As the plain model says: the state as of a revision, or any later one. */
+  mayShow(key: string, version: number | null, from: number): boolean {
+    const before = this.log
+      .slice(0, from)
+      .reverse()
+      .find((change) => change.key === key);
+    const later = this.log.slice(from).filter((change) => change.key === key);
+    return [before, ...later].some((change) => (!change || change.removed ? null : change.version) === version);
+  }
+}
+
+const event = fc.record({
+  kind: fc.constantFrom('write', 'remove', 'read', 'own', 'show', 'answer'),
+  key: fc.constantFrom(...KEYS),
+  nth: fc.nat(8),
+});
+
+test('however late answers to reads and to own writes come, the mirror shows nothing older than its watch has passed', async () => {
+  await fc.assert(
+    fc.asyncProperty(fc.array(event, { minLength: 30, maxLength: 40, size: 'max' }), async (events) => {
+      const lab = new Lab();
+      const store = new Store();
+      const mirror = new Mirror(store, 'live/', lab.process('10.0.0.1'), lab.log);
+      void mirror.run();
+      await followed(lab);
+      /** Answers that are still on their way. */
+      const held: Change[] = [];
+      for (const { kind, key, nth } of events) {
+        if (kind === 'write') store.write(key, false);
+        else if (kind === 'remove') store.write(key, true);
+        else if (kind === 'own') held.push(store.write(key, nth % 2 === 0));
+        else if (kind === 'read') held.push(...[store.read(key)].filter((change) => change !== null));
+        else if (kind === 'answer')
+          for (const change of held.splice(nth % Math.max(1, held.length), 1)) mirror.apply(change);
+        else {
+          store.show(mirror.seenUpTo + 1 + nth);
+          await followed(lab);
+        }
+        for (const name of KEYS) {
+          const version = mirror.get(name)?.version ?? null;
+          assert.ok(store.mayShow(name, version, mirror.seenUpTo), `${name}: ${version} at ${mirror.seenUpTo}`);
+        }
+      }
+      mirror.stop();
+    }),
+    { seed: 11, numRuns: 300 },
+  );
+});
+
+test('an own acceptance whose answer comes after the job has ended and the watch has shown it does not bring it back', async () => {
+  const lab = new Lab();
+  const store = new Store();
+  const mirror = new Mirror(store, 'live/', lab.process('10.0.0.1'), lab.log);
+  void mirror.run();
+  await followed(lab);
+  const accepted = store.write('live/jobs/a', false);
+  store.write('live/jobs/a', true);
+  store.show(2);
+  await followed(lab);
+  const changes: Change[] = [];
+  mirror.changes.subscribe((change) => changes.push(change));
+  mirror.apply(accepted);
+  assert.equal(mirror.get('live/jobs/a'), undefined);
+  assert.deepEqual(changes, [], 'and no holder hears of it');
+  mirror.stop();
+});
--- /dev/null
+++ b/test/teamuse.test.ts
@@ -0,0 +1,90 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { teamUse } from '../src/holder/index.js';
+import {
+  attempt,
+  jobId,
+  machineId,
+  millis,
+  revision,
+  sequence,
+  session,
+  taskKey,
+  type JobId,
+} from '../src/kernel/index.js';
+import { MachineBelief, tokenOf, type ListedTask } from '../src/workers/index.js';
+import { planPlacement } from '../src/placement/index.js';
+import { spec } from './standins/jobs.js';
+
+const TEAMS = new Map([
+  ['tight', { cpus: 0, cpusMax: 4, gpus: 0, gpusMax: 0 }],
+  ['free', { cpus: 0, cpusMax: 0, gpus: 0, gpusMax: 0 }],
+]);
+const KNOWN = new Map([
+  [jobId('j-tight'), spec({ id: 'j-tight', team: 'tight', cpus: 1, tasks: 8 })],
+  [jobId('j-free'), spec({ id: 'j-free', team: 'free', cpus: 1 })],
+]);
+const specOf = (id: JobId) => KNOWN.get(id) ?? null;
+
+/** A machine whose worker has acknowledged the present holder and lists these tasks. */
+function listing(...tasks: readonly [string, number, ListedTask['state']][]): MachineBelief {
+  const belief = new MachineBelief(revision(7), millis(0));
+  const message = {
+    ...{ machine: machineId('m'), type: 's', zone: 'z', spot: false, address: '', noticeS: null },
+    ...{ session: session(1), sequence: sequence(1), token: tokenOf(revision(7), 0) },
+    tasks: tasks.map(([job, index, state]) => ({
+      ...{ key: taskKey(jobId(job), index), job: jobId(job), index, attempt: attempt(1), state },
+      ...{ why: null, saved: false },
+    })),
+  };
+  assert.equal(belief.take(message, millis(1)), 'taken');
+  return belief;
+}
+
+/** How many tasks of the team at its limit a plan starts, with room for all of them. */
+function startsWith(...beliefs: MachineBelief[]): number {
+  const { use } = teamUse(TEAMS, beliefs, specOf);
+  const of = KNOWN.get(jobId('j-tight'));
+  assert.ok(of);
+  const machine = {
+    ...{ id: machineId('room'), type: 's', zone: 'z', spot: false, cpus: 16, gpus: 0, memoryGb: 64 },
+    ...{ freeCpus: 16, freeGpus: 0, freeMemoryGb: 64, usable: true, images: [], fetchGbPerS: 1, fetching: 0 },
+    ...{ cpuPrice: 1, suspicion: 0, running: [] },
+  };
+  const job = {
+    ...{
+      spec: of,
+      ready: [0, 1, 2, 3, 4, 5, 6, 7],
+      zoneUse: new Map(),
+      machineUse: new Map(),
+      avoid: new Set<never>(),
+    },
+    ...{ slackS: 100, lastSlackS: 100, aimed: false, workS: 10, suspect: false },
+  };
+  const input = { machines: [machine], pending: [job], teams: use, maxStarts: 100, reserve: null };
+  return planPlacement(input).starts.length;
+}
+
+test('what is possibly there counts for a team with a limit; what has exited and other teams do not', () => {
+  const belief = listing(['j-tight', 0, 'running'], ['j-tight', 1, 'exited'], ['j-free', 0, 'running']);
+  belief.noteStart(taskKey(jobId('j-tight'), 2), attempt(2));
+  const { use, unknown } = teamUse(TEAMS, [belief], specOf);
+  assert.deepEqual([...use], [['tight', { cpus: 2, gpus: 0, cpusMax: 4, gpusMax: 0 }]]);
+  assert.equal(unknown, 0);
+  assert.equal(startsWith(belief), 2);
+  assert.equal(startsWith(listing()), 4);
+});
+
+test('a task of a job that nobody knows any more may be of any team and size: those with a limit start nothing', () => {
+  // Cancelled before the claim: acknowledged, and its machine hangs before the stop is executed.
+  const stuck = listing(['j-cancelled', 0, 'running']);
+  assert.equal(startsWith(stuck), 0);
+  assert.equal(startsWith(listing(), stuck), 0);
+  const pending = listing();
+  pending.noteStart(taskKey(jobId('j-cancelled'), 0), attempt(3));
+  assert.equal(startsWith(pending), 0);
+  assert.equal(startsWith(listing(['j-cancelled', 0, 'exited'])), 4);
+  // Its lease is over: nothing is there.
+  stuck.expire();
+  assert.equal(startsWith(stuck), 4);
+});
