Region: the operators' newer troubles, users that ask all nodes at once, and checks of what they see

cancel_now, cancel_at_end, odd_requests, close_looks, machines_mute (machine_mute), commands_held, answers_held, boots_at_once, late_writes at_once, reports_again for_next (late_reports). The checker judges each answer by what any node had told before its question was sent: before, by what had been told when the answer came, which also blames a question that was under way; for questions one after the other, which were all that were asked, both are the same. New: left_waiting, odd_answer, and a count of starts after a confirmed cancellation.

--- a/packages/region/src/checker/index.ts
+++ b/packages/region/src/checker/index.ts
@@ -1,1 +1,2 @@
 export * from './rules.js';
+export type { Room } from './waiting.js';
--- a/packages/region/src/checker/rules.ts
+++ b/packages/region/src/checker/rules.ts
@@ -1,4 +1,5 @@
-import type { JobTruth, Machine, TaskWatch, UserWitness } from '../models/index.js';
+import type { Asked, JobTruth, Machine, TaskWatch, UserWitness } from '../models/index.js';
+import { WaitingWatch, type Room } from './waiting.js';
 
 /** The protocol's rules: a day on which one of them breaks counts for nothing. */
 export const RULES = [
@@ -13,6 +14,10 @@
   'nothing_ran',
   'too_early',
   'orphaned',
+  /** Troubles over, it waited although a machine had room for it and its team was under its limit. */
+  'left_waiting',
+  /** Taken although it can't run or lacks a field, or refused by another status than the protocol's. */
+  'odd_answer',
 ] as const;
 export type Rule = (typeof RULES)[number];
 
@@ -63,6 +68,11 @@
   quietFrom: number | null = null;
   private submitted = 0;
   private started = 0;
+  /** Starts of tasks whose user had been told that the job is cancelled, and how long after that the last was. */
+  readonly startsAfterCancel = { count: 0, latestMs: 0 };
+  private readonly waiting = new WaitingWatch(({ spec }) =>
+    this.breach('left_waiting', `${spec.ref} waits, and a machine has room for it`),
+  );
 
   constructor(
     private readonly now: () => number,
@@ -99,6 +109,10 @@
     mates.set(index, machine);
     this.use(job, 1);
     const told = this.told.get(spec.ref);
+    if (told?.cancelToldAt != null) {
+      this.startsAfterCancel.count += 1;
+      this.startsAfterCancel.latestMs = Math.max(this.startsAfterCancel.latestMs, this.now() - told.cancelToldAt);
+    }
     if (told?.cancelToldAt != null && this.now() > told.cancelToldAt + this.cancelS * 1000)
       this.breach('ran_cancelled', `${key} starts on ${machine.id} after its user was told that it is cancelled`);
   }
@@ -162,18 +176,23 @@
     });
   }
 
-  submitAnswered(ref: string, status: number, phase: unknown): void {
+  asks(ref: string): Asked {
+    const told = this.told.get(ref);
+    return { accepted: told?.accepted ?? false, final: told?.final ?? null };
+  }
+
+  submitAnswered(ref: string, status: number, phase: unknown, asked: Asked): void {
     const told = this.told.get(ref);
     if (!told) return;
     if (status === 200 || status === 201) {
       if (!told.accepted) told.lastAnswerAt = this.now();
       told.accepted = true;
-      this.phaseTold(told, phase);
-    } else if (told.accepted && (status === 400 || status === 422))
+      this.phaseTold(told, phase, asked);
+    } else if (asked.accepted && (status === 400 || status === 422))
       this.forget(told, `a repeated submission gets ${status}`);
   }
 
-  polled(ref: string, status: number | null, phase: unknown): void {
+  polled(ref: string, status: number | null, phase: unknown, asked: Asked): void {
     const told = this.told.get(ref);
     if (!told) {
       if (status === 200) this.breach('invented', `${ref} is answered, and nobody submitted it`);
@@ -184,9 +203,9 @@
     if (status === 200) {
       told.lastAnswerAt = this.now();
       told.failedPolls = 0;
-      this.phaseTold(told, phase);
+      this.phaseTold(told, phase, asked);
     } else if (status === 404) {
-      if (told.accepted) this.forget(told, 'a poll gets 404');
+      if (asked.accepted) this.forget(told, 'a poll gets 404');
     } else if (told.accepted) {
       told.failedPolls += 1;
       const silent = this.now() - told.lastAnswerAt;
@@ -203,11 +222,23 @@
     if (told) told.cancelAsked = true;
   }
 
-  cancelAnswered(ref: string, status: number, phase: unknown): void {
+  oddAnswered(what: string, wanted: number, status: number | null): void {
+    const taken = status === 200 || status === 201;
+    if (taken || ((status === 400 || status === 422 || status === 404) && status !== wanted))
+      this.breach('odd_answer', `${what} is answered ${status}, not ${wanted}`);
+  }
+
+  cancelAnswered(ref: string, status: number, phase: unknown, asked: Asked): void {
     const told = this.told.get(ref);
+    if (told && status === 404 && asked.accepted) this.forget(told, 'a cancellation gets 404');
     if (!told || status !== 200) return;
-    this.phaseTold(told, phase);
-    if (phase !== 'withdrawn' || told.cancelToldAt !== null) return;
+    this.phaseTold(told, phase, asked);
+  }
+
+  /** Its user is told that it is cancelled, by whatever question: from now on its tasks have so long to be gone. */
+  private toldCancelled(told: Told): void {
+    const { ref } = told.job.spec;
+    if (told.cancelToldAt !== null) return;
     told.cancelToldAt = this.now();
     this.later(this.cancelS * 1000 + 1, () => {
       const mates = this.byJob.get(ref);
@@ -216,10 +247,13 @@
     });
   }
 
-  private phaseTold(told: Told, phase: unknown): void {
+  private phaseTold(told: Told, phase: unknown, asked: Asked): void {
     const { ref } = told.job.spec;
-    if (told.final !== null && phase !== told.final)
-      this.breach('went_back', `${ref} was ${told.final} and is now ${String(phase)}`);
+    // Older than what some node had said before the question was sent; one that was under way by then may be either.
+    if (asked.final !== null && phase !== asked.final)
+      this.breach('went_back', `${ref} was ${asked.final} and is now ${String(phase)}`);
+    else if (told.final !== null && (phase === 'done' || phase === 'withdrawn') && phase !== told.final)
+      this.breach('went_back', `${ref} is called both ${told.final} and ${phase}`);
     if (phase === 'done' && !told.job.complete) this.breach('not_done', `${ref} is called done before its tasks are`);
     const above = phase === 'done' ? [] : this.cancelledBefore(told.job);
     if ((phase === 'pending' || phase === 'running') && told.accepted) {
@@ -229,6 +263,34 @@
     if (phase === 'withdrawn' && !told.cancelAsked && above.length === 0)
       this.breach('went_back', `${ref} is cancelled, not by its user`);
     if (told.final === null && (phase === 'done' || phase === 'withdrawn')) told.final = phase;
+    if (phase === 'withdrawn') this.toldCancelled(told);
+  }
+
+  /** How things stand: machines that are up, with what they have left. */
+  look(rooms: readonly Room[]): void {
+    const { quietFrom } = this;
+    if (quietFrom === null || this.now() < quietFrom) return;
+    const waiting: JobTruth[] = [];
+    for (const { job, accepted, cancelAsked, final } of this.told.values()) {
+      const { spec } = job;
+      if (!accepted || cancelAsked || final !== null || job.mistaken || job.finished.size > 0) continue;
+      if (this.byJob.has(spec.ref) || (spec.awaits ?? []).some((ref) => this.told.get(ref)?.job.complete !== true))
+        continue;
+      if (this.cancelledBefore(job).length === 0) waiting.push(job);
+    }
+    this.waiting.look(this.now(), waiting, rooms, (spec) => this.underLimit(spec));
+  }
+
+  private underLimit(spec: JobTruth['spec']): boolean {
+    const limits = this.teams.get(spec.owner);
+    const used = this.used.get(spec.owner);
+    const tasks = spec.shape === 'ensemble' ? spec.pieces : 1;
+    const within = (now: number, more: number, most: number | undefined): boolean =>
+      most === undefined || most <= 0 || now + more * tasks <= most + EPSILON;
+    return (
+      within(used?.cpus ?? 0, spec.vcpus, limits?.cpusMax) &&
+      within(used?.gpus ?? 0, spec.accelerators, limits?.gpusMax)
+    );
   }
 
   /** Jobs that it needs, directly or through others, whose users have asked to cancel them. */
--- a/packages/region/src/day/read.ts
+++ b/packages/region/src/day/read.ts
@@ -1,11 +1,30 @@
 import { parseTOML } from 'toml-eslint-parser';
 import { parse } from 'smol-toml';
 import * as v from 'valibot';
+import { isObject } from '../../../../src/kernel/index.js';
 import { daySchema, type Day } from './schema.js';
 
 /** Says in one line what is wrong, with the file, the line and the field. */
 export class DayError extends Error {}
 
+/** What the operators call some troubles. */
+const OPERATORS_NAMES: Readonly<Record<string, string>> = {
+  machine_deaf: 'machines_deaf',
+  machine_mute: 'machines_mute',
+  late_reports: 'reports_again',
+};
+
+function translated(raw: unknown): unknown {
+  const troubles = isObject(raw) ? raw['troubles'] : undefined;
+  if (!isObject(raw) || !Array.isArray(troubles)) return raw;
+  const named = (given: unknown): unknown => {
+    const kind = isObject(given) ? given['kind'] : undefined;
+    const ours = typeof kind === 'string' ? OPERATORS_NAMES[kind] : undefined;
+    return isObject(given) && ours !== undefined ? { ...given, kind: ours } : given;
+  };
+  return { ...raw, troubles: troubles.map(named) };
+}
+
 type Path = readonly (string | number)[];
 
 interface Named {
@@ -109,7 +128,7 @@
       return { path: [...path, 'controller'], message: `there are ${day.controllers.count} controllers, from 0` };
     if (trouble.kind === 'rollout' && trouble.order?.some((which) => which >= day.controllers.count))
       return { path: [...path, 'order'], message: `there are ${day.controllers.count} controllers, from 0` };
-    if (trouble.kind.startsWith('machines_')) {
+    if (trouble.kind.startsWith('machines_') || trouble.kind === 'commands_held') {
       const { count, share } = trouble as { readonly count?: number; readonly share?: number };
       if ((count === undefined) === (share === undefined)) return { path, message: 'needs either a count or a share' };
     }
@@ -130,7 +149,7 @@
   const fail = (path: Path, message: string): never => {
     throw new DayError(`${file}:${lineOf(toml, path)}: ${path.join('.') || 'day'}: ${message}`);
   };
-  const result = v.safeParse(daySchema, raw);
+  const result = v.safeParse(daySchema, translated(raw));
   if (!result.success) {
     // A field that nobody knows is the likely cause of another that is missing.
     const unknown = result.issues.find((candidate) => candidate.expected === 'never');
--- a/packages/region/src/day/schema.ts
+++ b/packages/region/src/day/schema.ts
@@ -53,6 +53,8 @@
   initial: maybe(count, 0),
   per_minute: maybe(amount, 0),
   cancel_share: maybe(share, 0),
+  /** Within what time of their acceptance those are cancelled. */
+  cancel_within_s: maybe(positive, 60),
   mistaken_share: maybe(share, 0),
   aims: maybe(v.array(aim), []),
 });
@@ -110,18 +112,40 @@
   v.strictObject({ kind: v.literal('state_limits'), ...at }),
   /** Of some machines, reports arrive, and neither answers nor commands reach them. */
   v.strictObject({ kind: v.literal('machines_deaf'), ...lasting, ...machines, zone: v.optional(name) }),
-  /** Copies of reports come so much later, to any controller. */
-  v.strictObject({ kind: v.literal('reports_again'), ...lasting, share, late_s: positive }),
+  /** Of these machines no connection reaches a controller; commands reach them, and are answered. */
+  v.strictObject({ kind: v.literal('machines_mute'), ...lasting, ...machines, zone: v.optional(name) }),
+  /** Commands to these machines, or their answers, are held up for seconds. */
+  v.strictObject({ kind: v.literal('commands_held'), ...lasting, ...machines, zone: v.optional(name) }),
+  /** Copies of reports come so much later, to any controller; `for_next`: to all, as soon as another leads or holds a shard. */
+  v.strictObject({
+    kind: v.literal('reports_again'),
+    ...lasting,
+    share,
+    late_s: v.optional(positive),
+    for_next: v.optional(v.boolean()),
+  }),
   /** A machine's worker ends with all its tasks, and is back after so long. */
   v.strictObject({ kind: v.literal('machines_restart'), ...at, ...machines, zone: v.optional(name), down_s: positive }),
   v.strictObject({ kind: v.literal('state_outage'), ...lasting }),
   v.strictObject({ kind: v.literal('state_slow'), ...lasting, times: v.pipe(v.number(), v.gtValue(1)) }),
-  /** A share of transactions gets no answer and is carried out 2 to 12 s later. */
-  v.strictObject({ kind: v.literal('late_writes'), ...lasting, share }),
+  /** A share of transactions gets no answer and is carried out 2 to 12 s later; `at_once`: now. */
+  v.strictObject({ kind: v.literal('late_writes'), ...lasting, share, at_once: v.optional(v.boolean()) }),
+  /** A share of reads and transactions is carried out at once and answered up to 1.4 s later. */
+  v.strictObject({ kind: v.literal('answers_held'), ...lasting, share }),
   v.strictObject({ kind: v.literal('watch_forgets'), ...at }),
   v.strictObject({ kind: v.literal('cloud_outage'), ...lasting }),
   v.strictObject({ kind: v.literal('capacity_drop'), ...lasting, share }),
   v.strictObject({ kind: v.literal('boots_late'), ...lasting, times: v.pipe(v.number(), v.gtValue(1)) }),
+  /** New machines are up within two seconds. */
+  v.strictObject({ kind: v.literal('boots_at_once'), ...lasting }),
+  /** So many jobs that run and have long to go are cancelled within a fifth of a second; up to eight of their machines hang. */
+  v.strictObject({ kind: v.literal('cancel_now'), ...at, count: some, hang_s: v.optional(positive) }),
+  /** A share of the jobs that end is cancelled at that moment. */
+  v.strictObject({ kind: v.literal('cancel_at_end'), ...lasting, share }),
+  /** Users repeat submissions, cancel jobs that are done, and send jobs that can't run or lack a field. */
+  v.strictObject({ kind: v.literal('odd_requests'), ...lasting }),
+  /** Users ask every node within milliseconds after a job was accepted, ended or cancelled. */
+  v.strictObject({ kind: v.literal('close_looks'), ...lasting }),
   v.strictObject({ kind: v.literal('boots_never'), ...lasting, share }),
   v.strictObject({ kind: v.literal('zone_cut'), ...lasting, zone: name, manner }),
 ]);
--- a/packages/region/src/hunt/meetings.ts
+++ b/packages/region/src/hunt/meetings.ts
@@ -7,12 +7,18 @@
 /** What is drawn ends so long before the day does, so that what is owed by then is owed. */
 const LASTS_S = 215;
 
+/** What a team may use that is at its limit: a service's replicas and a part of one array. */
+const TIGHT_CPUS = 60;
+
 type Draw = (luck: Luck, at: number, day: Day) => readonly Trouble[];
 
 const tenths = (value: number): number => Math.round(value * 10) / 10;
 const someone = (luck: Luck, day: Day): number | 'leader' =>
   luck.chance(0.5) ? 'leader' : luck.whole(day.controllers.count);
 const held = (luck: Luck): 'hold' | 'reset' => (luck.chance(0.7) ? 'hold' : 'reset');
+/** Machines of cancelled jobs hang, some for just less than their lease. */
+const hangs = (luck: Luck, day: Day): { hang_s?: number } =>
+  luck.chance(0.6) ? { hang_s: tenths(day.workers.lease_s * (luck.pick([0.3, 0.7, 0.97, 1.2]) ?? 0.7)) } : {};
 const moment = (luck: Luck): number => luck.pick([0.05, 0.2, 0.5, 1]) ?? 0.5;
 
 /** The meetings of troubles that the operators name, drawn with other times and parts each time: docs/meetings.md. */
@@ -87,6 +93,112 @@
       ? { kind: 'machines_hang', at_s: at + luck.between(-3, 5), for_s: luck.between(2, 25), share: 0.3 }
       : { kind: 'controller_pause', at_s: at + luck.between(-3, 5), for_s: luck.between(2, 25), controller: 'leader' },
   ],
+  'machines that reach no controller': (luck, at, day) => [
+    { kind: 'machines_mute', at_s: at - 5, for_s: luck.between(10, 80), share: luck.between(0.1, 0.4) },
+    { kind: 'cancel_now', at_s: at, count: 12, ...hangs(luck, day) },
+    { kind: 'controller_crash', at_s: at + luck.between(0, 10), controller: someone(luck, day), down_s: moment(luck) },
+  ],
+  'jobs cancelled whose machines are cut off or hang, and the leader changes': (luck, at, day) => [
+    luck.chance(0.5)
+      ? {
+          kind: 'machines_cut',
+          at_s: at - 1,
+          for_s: luck.between(5, 40),
+          share: luck.between(0.1, 0.5),
+          manner: 'hold',
+        }
+      : { kind: 'machines_hang', at_s: at - 1, for_s: luck.between(5, 17), share: luck.between(0.1, 0.4) },
+    { kind: 'cancel_now', at_s: at, count: 20, ...hangs(luck, day) },
+    { kind: 'controller_crash', at_s: at + luck.between(0.1, 6), controller: someone(luck, day), down_s: moment(luck) },
+  ],
+  "cancelled in the seconds in which a controller's work changes hands": (luck, at, day) => {
+    const which = luck.whole(day.controllers.count);
+    const over: Trouble = luck.chance(0.5)
+      ? { kind: 'controller_crash', at_s: at, controller: which, down_s: luck.pick([0.2, 5, 20]) ?? 5 }
+      : { kind: 'rollout', at_s: at, gap_s: 1, to: 'this', order: [which], down_s: luck.between(1, 12), leave: true };
+    return [
+      over,
+      ...[0, 1, 2, 3, 4, 5].map((i): Trouble => ({
+        kind: 'cancel_now',
+        at_s: at + i * luck.between(0.3, 1.6),
+        count: 4,
+        ...hangs(luck, day),
+      })),
+    ];
+  },
+  "cancelled, asked and repeated at the end of a job's last task": (luck, at) => [
+    { kind: 'cancel_at_end', at_s: at - 25, for_s: 100, share: luck.between(0.2, 0.8) },
+    { kind: 'close_looks', at_s: at - 25, for_s: 100 },
+  ],
+  'asked at all nodes within milliseconds': (luck, at, day) => [
+    { kind: 'close_looks', at_s: at - 25, for_s: 100 },
+    { kind: 'odd_requests', at_s: at - 25, for_s: 100 },
+    { kind: 'answers_held', at_s: at - 20, for_s: luck.between(20, 80), share: luck.between(0.02, 0.3) },
+    { kind: 'controller_crash', at_s: at, controller: someone(luck, day), down_s: moment(luck) },
+  ],
+  'only the answers of transactions are lost': (luck, at, day) => [
+    { kind: 'close_looks', at_s: at - 10, for_s: 60 },
+    { kind: 'late_writes', at_s: at - 10, for_s: luck.between(20, 60), share: luck.between(0.05, 0.4), at_once: true },
+    { kind: 'controller_crash', at_s: at, controller: someone(luck, day), down_s: moment(luck) },
+  ],
+  'refused alone as jobs are cancelled, a second later gone for all': (luck, at, day) => [
+    { kind: 'cancel_now', at_s: at, count: 20, ...hangs(luck, day) },
+    { kind: 'controller_refused', at_s: at, for_s: luck.between(1, 30), controller: someone(luck, day) },
+    { kind: 'state_outage', at_s: at + 1, for_s: luck.between(48, 75) },
+  ],
+  'commands held up, and the machine goes on': (luck, at, day) => [
+    { kind: 'commands_held', at_s: at - 10, for_s: luck.between(20, 60), share: luck.between(0.2, 0.8) },
+    { kind: 'cancel_now', at_s: at, count: 20, ...hangs(luck, day) },
+    { kind: 'controller_crash', at_s: at + luck.between(0, 8), controller: someone(luck, day), down_s: moment(luck) },
+  ],
+  'old reports reach every controller as a new leader begins': (luck, at, day) => [
+    { kind: 'reports_again', at_s: at - 20, for_s: 60, share: luck.between(0.1, 0.8), for_next: true },
+    { kind: 'controller_crash', at_s: at, controller: 'leader', down_s: moment(luck) },
+    { kind: 'cancel_now', at_s: at - 2, count: 12, ...hangs(luck, day) },
+    {
+      kind: 'controller_crash',
+      at_s: at + luck.between(8, 25),
+      controller: someone(luck, day),
+      down_s: luck.between(1, 9),
+    },
+  ],
+  'new machines up at once while writes lag, and the leader ends': (luck, at, day) => [
+    { kind: 'boots_at_once', at_s: at - 20, for_s: 60 },
+    { kind: 'burst', at_s: at - 20, for_s: 40, class: luck.pick(day.classes)?.name ?? '', times: 5 },
+    { kind: 'late_writes', at_s: at - 10, for_s: 30, share: luck.between(0.1, 0.4), at_once: luck.chance(0.5) },
+    { kind: 'controller_crash', at_s: at, controller: 'leader', down_s: moment(luck) },
+    { kind: 'controller_crash', at_s: at + luck.between(5, 15), controller: 'leader', down_s: moment(luck) },
+  ],
+  'all controllers away for longer than a lease': (luck, at, day) => [
+    { kind: 'cancel_now', at_s: at - luck.between(0, 3), count: 12, ...hangs(luck, day) },
+    { kind: 'controller_crash', at_s: at, controller: 'all', down_s: day.workers.lease_s + luck.between(1, 15) },
+  ],
+  'leaders change ten times': (luck, at) => [
+    ...Array.from({ length: 10 }, (_, i): Trouble => ({
+      ...{ kind: 'controller_crash', at_s: at - 25 + i * 9, controller: 'leader' },
+      down_s: luck.pick([0.2, 2, 6]) ?? 2,
+    })),
+    ...(luck.chance(0.5) ? [{ kind: 'state_outage', at_s: at, for_s: luck.between(5, 40) } as const] : []),
+  ],
+  'a zone cut off for longer than a lease, machines of a zone lost': (luck, at, day) => {
+    const zone = luck.pick(day.zones) ?? '';
+    return [
+      { kind: 'zone_cut', at_s: at, for_s: day.workers.lease_s + luck.between(1, 25), zone, manner: held(luck) },
+      {
+        kind: 'machines_die',
+        at_s: at + luck.between(-5, 30),
+        share: luck.between(0.1, 0.5),
+        zone: luck.pick(day.zones),
+      },
+      { kind: 'cancel_now', at_s: at + 1, count: 12, ...hangs(luck, day) },
+    ];
+  },
+  'more work than room, urgent and not, over slow links': (luck, at, day) => [
+    { kind: 'capacity_drop', at_s: at - 20, for_s: 70, share: luck.between(0.3, 0.8) },
+    ...day.classes.map((c): Trouble => ({ kind: 'burst', at_s: at - 20, for_s: 40, class: c.name, times: 4 })),
+    { kind: 'answers_held', at_s: at - 10, for_s: 50, share: luck.between(0.05, 0.3) },
+    { kind: 'state_slow', at_s: at, for_s: luck.between(10, 40), times: 10 },
+  ],
 };
 
 export interface Meeting {
@@ -101,13 +213,17 @@
   const names = luck.some(Object.keys(MEETINGS), 2);
   const at = luck.between(FIRST_S, LAST_S);
   const troubles = names.flatMap((name, i) => MEETINGS[name]?.(luck, at + i * luck.between(-10, 15), base) ?? []);
-  const longest = base.classes.find(({ shape }) => shape === 'array')?.name;
+  const array = base.classes.find(({ shape }) => shape === 'array');
+  const longest = array?.name;
+  // On every other day its team is at its limit most of the time.
+  const tight = luck.chance(0.5) ? array?.team : undefined;
   const day: Day = {
     ...base,
     name: `meeting-${seed}`,
     seed,
     duration_s: LASTS_S,
     quiet_end_s: 0,
+    teams: base.teams.map((team) => (team.name === tight ? { ...team, cpus_max: TIGHT_CPUS } : team)),
     classes: base.classes.map((c) =>
       c.name === longest
         ? { ...c, run_s: { median: 90, p95: 140, max: 160 }, cancel_share: 0.7, initial: 6, per_minute: 10 }
--- a/packages/region/src/measure/cancels.ts
+++ b/packages/region/src/measure/cancels.ts
@@ -11,11 +11,11 @@
     asked.set(ref, region.now);
     ask(ref);
   };
-  checker.cancelAnswered = (ref, status, phase) => {
+  checker.cancelAnswered = (ref, status, phase, question) => {
     const askedAt = asked.get(ref);
     if (status === 200 && phase === 'withdrawn' && askedAt !== undefined && asked.delete(ref))
       told(ref, askedAt, region.now);
-    answer(ref, status, phase);
+    answer(ref, status, phase, question);
   };
 }
 
--- a/packages/region/src/models/cloud.ts
+++ b/packages/region/src/models/cloud.ts
@@ -102,6 +102,8 @@
   /** How much longer boots take, and at least how many of them never end. */
   bootFactor = 1;
   neverShare = 0;
+  /** Every machine is up within two seconds. */
+  bootsAtOnce = false;
   private spent = 0;
   readonly counts = { calls: 0, refused: 0, rented: 0, takenBack: 0, neverUp: 0, died: 0 };
 
@@ -275,7 +277,7 @@
     }
     const late = this.luck.chance(LATE_BOOTS) ? this.luck.between(2, 4) : 1;
     const usual = machine.type.bootS * this.luck.between(0.6, 1.5) * late * this.bootFactor;
-    const bootS = this.luck.chance(QUICK_BOOTS) ? this.luck.between(0.5, 2) : usual;
+    const bootS = this.luck.chance(this.bootsAtOnce ? 1 : QUICK_BOOTS) ? this.luck.between(0.5, 2) : usual;
     this.runtime.after(bootS * 1000, () => this.comeUp(machine));
   }
 
--- a/packages/region/src/models/state.ts
+++ b/packages/region/src/models/state.ts
@@ -55,6 +55,7 @@
 const TXN_BYTES = 64 * 1024;
 const LATE_MS = 100;
 const LATE_WRITES_MS = [2000, 12_000] as const;
+const HELD_MS = [200, 1400] as const;
 const SLOW_SHARE = 0.004;
 const KEY = /^[^ ]{1,200}$/;
 
@@ -80,6 +81,10 @@
   slowness = 1;
   /** This share of transactions gets no answer, and is carried out seconds later, after newer ones. */
   lateWrites = 0;
+  /** Those transactions are carried out at once: only their answers are lost. */
+  lateAtOnce = false;
+  /** This share of reads and transactions is carried out at once and answered later. */
+  heldAnswers = 0;
   /** Told of each change, by measurements. */
   wrote: (key: string, value: unknown) => void = () => undefined;
   /** Set by tests: a change that is answered and never made. */
@@ -159,9 +164,16 @@
       return TOO_MANY;
     }
     if (this.lateWrites > 0 && request.path === '/txn' && this.luck.chance(this.lateWrites)) {
-      this.runtime.after(this.luck.between(...LATE_WRITES_MS), () => void this.answer(request));
+      if (this.lateAtOnce) void this.answer(request);
+      else this.runtime.after(this.luck.between(...LATE_WRITES_MS), () => void this.answer(request));
       return new Promise<Answer>(() => undefined);
     }
+    const holds = this.heldAnswers > 0 && request.path !== '/follow' && !request.path.startsWith('/leases');
+    if (holds && this.luck.chance(this.heldAnswers)) {
+      const answer = this.answer(request);
+      await this.runtime.sleep(this.luck.between(...HELD_MS));
+      return answer;
+    }
     const spoiled = this.spoils(request);
     if (spoiled === 'lost-answer') void this.answer(request);
     return spoiled ? new Promise<Answer>(() => undefined) : this.answer(request);
--- a/packages/region/src/models/users.ts
+++ b/packages/region/src/models/users.ts
@@ -1,7 +1,8 @@
-import { isObject, type Answer, type Runtime } from '../../../../src/kernel/index.js';
+import { isObject, type Answer, type Endpoint, type Runtime } from '../../../../src/kernel/index.js';
 import type { Day, DayClass, DayPipeline } from '../day/index.js';
 import { Luck } from '../sim/index.js';
 import type { Balancer, UserSession } from './balancer.js';
+import { CloseUsers } from './close.js';
 import { JobTruth, type JobBook, type Submission } from './jobs.js';
 import type { ScriptedJob } from './script.js';
 
@@ -17,15 +18,25 @@
   toldCancelled: boolean;
 }
 
+/** What had been told of a job, by any node, when a question about it was sent: no answer may be older. */
+export interface Asked {
+  readonly accepted: boolean;
+  readonly final: 'done' | 'withdrawn' | null;
+}
+
 /** Told what users do and what they are answered. */
 export interface UserWitness {
   submits(job: JobTruth): void;
+  /** A question is sent now. */
+  asks(ref: string): Asked;
   /** Any answer to a submission, the first or a repeated one. */
-  submitAnswered(ref: string, status: number, phase: unknown): void;
+  submitAnswered(ref: string, status: number, phase: unknown, asked: Asked): void;
   /** A poll's status, or null for one without an answer. */
-  polled(ref: string, status: number | null, phase: unknown): void;
+  polled(ref: string, status: number | null, phase: unknown, asked: Asked): void;
   cancelAsked(ref: string): void;
-  cancelAnswered(ref: string, status: number, phase: unknown): void;
+  cancelAnswered(ref: string, status: number, phase: unknown, asked: Asked): void;
+  /** A submission that can't be taken, what it should be answered, and what it was; null: nothing. */
+  oddAnswered(what: string, wanted: number, status: number | null): void;
 }
 
 export interface UserDeps {
@@ -37,6 +48,8 @@
   readonly jobs: JobBook;
   readonly checker: UserWitness;
   readonly arrived: (view: UserView) => void;
+  /** The controllers themselves, for users that ask around the balancer. */
+  readonly nodes: readonly Endpoint[];
   /** Instead of drawn jobs and strangers. */
   readonly script?: readonly ScriptedJob[];
 }
@@ -64,8 +77,25 @@
   private readonly used = new Set<string>();
   private readonly accepted: UserView[] = [];
   private ended = false;
+  readonly close: CloseUsers;
 
-  constructor(private readonly deps: UserDeps) {}
+  constructor(private readonly deps: UserDeps) {
+    const { runtime, luck, nodes, checker, day } = deps;
+    const own = luck.fork('close');
+    this.close = new CloseUsers({
+      ...{ runtime, nodes, checker, luck: own, accepted: this.accepted },
+      draft: () => this.draw(own.pick(day.classes)).spec,
+      submitAgain: (view) => void this.once((session) => this.submitOnce(session, view)),
+      cancel: (view) => void this.once((session) => this.cancel(session, view)),
+    });
+  }
+
+  /** On a connection of its own. */
+  private async once(work: (session: UserSession) => Promise<unknown>): Promise<void> {
+    const session = this.deps.balancer.session();
+    await work(session);
+    session.close();
+  }
 
   /** How many times as often jobs of a class come. */
   burst(jobClass: string, times: number): void {
@@ -89,12 +119,14 @@
           () => void this.livePipeline(pipeline),
         );
     }
+    this.close.start();
     runtime.every(1000, () => this.second());
     runtime.every(STRANGER_EVERY_MS, () => void this.stranger());
   }
 
   stop(): void {
     this.ended = true;
+    this.close.stop();
   }
 
   private second(): void {
@@ -121,7 +153,8 @@
     }
   }
 
-  private draw(c: DayClass, more: Partial<Submission> = {}): JobTruth {
+  private draw(c: DayClass | undefined, more: Partial<Submission> = {}): JobTruth {
+    if (!c) throw new Error('a day without classes');
     const { luck } = this.deps;
     const ref = this.ref();
     const own = luck.fork(ref);
@@ -177,7 +210,7 @@
       if (own.chance(REPEATS)) runtime.after(own.between(500, 20_000), () => void this.submitOnce(session, view));
       if (c.shape === 'service') runtime.after(job.runS(0) * 1000, () => void this.cancel(session, view));
       else if (job.mistaken || own.chance(c.cancel_share))
-        runtime.after(own.between(1000, 60_000), () => void this.cancel(session, view));
+        runtime.after(own.between(1000, c.cancel_within_s * 1000), () => void this.cancel(session, view));
       await this.follow(session, view, own);
       if (!own.chance(ASKS_AGAIN)) return;
       await runtime.sleep(own.between(5000, 60_000));
@@ -302,12 +335,14 @@
   private async submitOnce(session: UserSession, view: UserView): Promise<Answer> {
     const { spec } = view.job;
     const call = { method: 'POST', path: '/v1/jobs', body: spec, timeoutMs: SUBMIT_TIMEOUT_MS } as const;
+    const asked = this.deps.checker.asks(spec.ref);
     const answer = await session.call(call);
     if (answer.kind === 'answered') {
-      this.deps.checker.submitAnswered(spec.ref, answer.status, phaseOf(answer));
+      this.deps.checker.submitAnswered(spec.ref, answer.status, phaseOf(answer), asked);
       if ((answer.status === 200 || answer.status === 201) && view.acceptedAt === null) {
         view.acceptedAt = this.deps.now();
         this.accepted.push(view);
+        this.close.told(view, 'accepted');
       }
     }
     return answer;
@@ -322,11 +357,19 @@
 
   private async poll(session: UserSession, view: UserView): Promise<void> {
     const { ref } = view.job.spec;
+    const asked = this.deps.checker.asks(ref);
     const answer = await session.call({ method: 'GET', path: `/v1/jobs/${ref}`, timeoutMs: POLL_TIMEOUT_MS });
     const phase = phaseOf(answer);
-    this.deps.checker.polled(ref, answer.kind === 'answered' ? answer.status : null, phase);
+    this.deps.checker.polled(ref, answer.kind === 'answered' ? answer.status : null, phase, asked);
+    if (phase === 'done' || phase === 'withdrawn') this.over(view, phase);
+  }
+
+  /** Some node has told its user how it ended. */
+  private over(view: UserView, phase: 'done' | 'withdrawn'): void {
+    const known = view.toldDone || view.toldCancelled;
     if (phase === 'done') view.toldDone = true;
-    if (phase === 'withdrawn') view.toldCancelled = true;
+    else view.toldCancelled = true;
+    if (!known) this.close.told(view, 'over');
   }
 
   private async cancel(session: UserSession, view: UserView): Promise<void> {
@@ -338,11 +381,11 @@
     view.cancelAskedAt = askedAt;
     for (;;) {
       const path = `/v1/jobs/${ref}/cancel`;
+      const asked = checker.asks(ref);
       const answer = await session.call({ method: 'POST', path, body: {}, timeoutMs: SUBMIT_TIMEOUT_MS });
-      if (answer.kind === 'answered') checker.cancelAnswered(ref, answer.status, phaseOf(answer));
+      if (answer.kind === 'answered') checker.cancelAnswered(ref, answer.status, phaseOf(answer), asked);
       if (answer.kind === 'answered' && answer.status === 200) {
-        if (phaseOf(answer) === 'withdrawn') view.toldCancelled = true;
-        else view.toldDone = true;
+        this.over(view, phaseOf(answer) === 'withdrawn' ? 'withdrawn' : 'done');
         return;
       }
       // Nobody gives up cancelling: a job that may run on costs money.
@@ -354,8 +397,9 @@
     if (this.ended) return;
     const ref = `j-x${String(this.deps.luck.whole(1_000_000)).padStart(6, '0')}`;
     const session = this.deps.balancer.session();
+    const asked = this.deps.checker.asks(ref);
     const answer = await session.call({ method: 'GET', path: `/v1/jobs/${ref}`, timeoutMs: POLL_TIMEOUT_MS });
-    this.deps.checker.polled(ref, answer.kind === 'answered' ? answer.status : null, phaseOf(answer));
+    this.deps.checker.polled(ref, answer.kind === 'answered' ? answer.status : null, phaseOf(answer), asked);
     session.close();
   }
 }
--- a/packages/region/src/models/worker.ts
+++ b/packages/region/src/models/worker.ts
@@ -34,6 +34,8 @@
 export interface ReportCopies {
   readonly share: number;
   readonly lateMs: number;
+  /** Instead they are kept, until another leads or holds a shard. */
+  readonly keep?: (body: unknown) => void;
 }
 
 export interface WorkerDeps {
@@ -55,6 +57,7 @@
 
 const REPORT_TIMEOUT_MS = 4000;
 const NEXT_NODE_MS = 1000;
+const HELD_MS = [200, 6000] as const;
 const CHANGE_MS = 500;
 
 /** A machine's worker, by its protocol: sessions, tokens, leases, and tasks that run. */
@@ -76,6 +79,12 @@
   private listening: Listening | undefined;
   /** What it says arrives; answers and commands don't reach it. */
   deaf = false;
+  /** No connection of its reaches a controller. */
+  mute = false;
+  /** A command for another session raises its token all the same: the protocol leaves that open. */
+  refusedRaise = false;
+  /** Commands or their answers are held up. */
+  holdsCommands = false;
   /** Reports that were answered so that its lease was renewed. */
   answers = 0;
   address = '';
@@ -94,6 +103,11 @@
     this.leasedAt = deps.watchdog.now();
   }
 
+  /** The highest token that it has seen. */
+  get highestToken(): number {
+    return this.helm;
+  }
+
   private heardAt: Endpoint = { host: '', port: 0 };
 
   listen(at: Endpoint): Listening {
@@ -177,8 +191,8 @@
     const call = { method: 'POST', path: '/v1/report', body: this.message(), timeoutMs: REPORT_TIMEOUT_MS } as const;
     const before = this.stamp;
     const { life } = this;
-    this.copy(call.body);
-    const answer = this.deaf ? await this.unheard(client, call) : await client.call(call);
+    if (!this.mute) this.copy(call.body);
+    const answer = await this.say(client, call);
     if (life !== this.life) return;
     this.reporting = false;
     if (this.ended) return;
@@ -200,6 +214,13 @@
     }
   }
 
+  private async say(client: HttpClient, call: Call): Promise<CallAnswer> {
+    if (this.deaf) return this.unheard(client, call);
+    if (!this.mute) return client.call(call);
+    await this.deps.runtime.sleep(REPORT_TIMEOUT_MS);
+    return { kind: 'failed', reason: 'no connection' };
+  }
+
   /** A report that arrives, and whose answer doesn't. */
   private async unheard(client: HttpClient, call: Call): Promise<CallAnswer> {
     const { runtime } = this.deps;
@@ -214,6 +235,10 @@
     const again = this.deps.copies?.() ?? null;
     const { runtime, luck, controllers } = this.deps;
     if (!again || !luck.chance(again.share)) return;
+    if (again.keep) {
+      again.keep(body);
+      return;
+    }
     const at = luck.pick(controllers)?.at;
     if (!at) return;
     runtime.after(again.lateMs * luck.between(0.1, 1), () => {
@@ -303,7 +328,20 @@
 
   /** As its listener answers: not at all while nothing reaches it. */
   private answer(request: Request): Answer | Promise<Answer> {
-    return this.deaf || this.down ? new Promise<Answer>(() => undefined) : this.serve(request);
+    if (this.deaf || this.down) return new Promise<Answer>(() => undefined);
+    return this.holdsCommands && request.path === '/commands' ? this.heldUp(request) : this.serve(request);
+  }
+
+  /** Executed late, or at once and answered late; what is under way when the machine ends never is. */
+  private async heldUp(request: Request): Promise<Answer> {
+    const { runtime, luck } = this.deps;
+    const { life } = this;
+    const [before, after] = luck.chance(0.5) ? [luck.between(...HELD_MS), 0] : [0, luck.between(...HELD_MS)];
+    await runtime.sleep(before);
+    if (this.ended || this.down || life !== this.life) return new Promise<Answer>(() => undefined);
+    const answer = this.serve(request);
+    await runtime.sleep(after);
+    return answer;
   }
 
   serve({ method, path, body }: Pick<Request, 'method' | 'path' | 'body'>): Answer {
@@ -312,7 +350,10 @@
     const helm = isObject(body) ? asCount(body['helm']) : undefined;
     const tide = isObject(body) ? asCount(body['tide']) : undefined;
     if (helm === undefined || tide === undefined) return { status: 400, body: { error: 'helm or tide is missing' } };
-    if (helm < this.helm || tide !== this.tide) return { status: 409, body: this.message() };
+    if (helm < this.helm || tide !== this.tide) {
+      if (this.refusedRaise) this.takeHelm(helm);
+      return { status: 409, body: this.message() };
+    }
     this.takeHelm(helm);
     this.execute(asList(isObject(body) ? body['orders'] : undefined));
     return { status: 200, body: this.message() };
--- a/packages/region/src/parts.ts
+++ b/packages/region/src/parts.ts
@@ -1,5 +1,5 @@
-import type { Endpoint, Logger, Runtime } from '../../../src/kernel/index.js';
-import { RuleChecker, type Breach } from './checker/index.js';
+import { HttpClient, type Endpoint, type Logger, type Runtime } from '../../../src/kernel/index.js';
+import { RuleChecker, type Breach, type Room } from './checker/index.js';
 import type { Day } from './day/index.js';
 import { Daybook } from './daybook.js';
 import { Balancer, CloudModel, GangBook, JobBook, StateModel, UserModel, WorkerModel } from './models/index.js';
@@ -134,6 +134,7 @@
         options.note(`arrives ${ref} ${jobclass} ${pieces}`);
         this.daybook.arrived(view);
       },
+      nodes: options.controllers.map(({ serveOn }) => serveOn),
       ...(options.script ? { script: options.script.jobs } : {}),
     });
   }
@@ -209,6 +210,43 @@
     this.options.note(`off ${job.spec.ref}/${index} ${attempt} ${machine.id} ${cause}`);
     this.checker.left(machine, job, index);
     this.daybook.left(machine, job, index, attempt, cause);
+    if (cause === 'done' && job.complete) this.users.close.completed(job);
+  }
+
+  /** A copy of a report reaches every controller; nobody reads what is answered. */
+  deliverReport(body: unknown): void {
+    const { runtime } = this.cloudSeat;
+    for (const { serveOn } of this.options.controllers) {
+      const client = new HttpClient(serveOn, 1, runtime);
+      const sent = client.call({ method: 'POST', path: '/v1/report', body, timeoutMs: 4000 });
+      void sent.finally(() => client.close());
+    }
+  }
+
+  /** Machines that are up and not on their way out, with what no task on them takes. */
+  get rooms(): Room[] {
+    const rooms: Room[] = [];
+    for (const { model } of this.workers.values()) {
+      const { machine, tasks } = model;
+      if (machine.takenAt !== null) continue;
+      let { cpus, gpus, memoryGb } = machine.type;
+      for (const { job, phase } of tasks.all) {
+        if (!job || phase === 'exited') continue;
+        cpus -= job.spec.vcpus;
+        gpus -= job.spec.accelerators;
+        memoryGb -= job.spec.ram_gb;
+      }
+      rooms.push({ machine, cpus, gpus, memoryGb });
+    }
+    return rooms;
+  }
+
+  /** The machines that a job's tasks are on. */
+  machinesOf(ref: string): WorkerModel[] {
+    const found: WorkerModel[] = [];
+    for (const { model } of this.workers.values())
+      if ([...model.tasks.all].some(({ job, on }) => on && job?.spec.ref === ref)) found.push(model);
+    return found;
   }
 
   /** What the useful work of all jobs costs at the lowest nominal price that its class allows. */
--- a/packages/region/src/region.ts
+++ b/packages/region/src/region.ts
@@ -11,7 +11,7 @@
 import { Releases, THIS, type Running } from './releases/index.js';
 import { settingsFor } from './settings.js';
 import { DAY_BEGINS, Luck, Network, rest, SimProcess, World } from './sim/index.js';
-import { playTrouble, type Troubled } from './troubles.js';
+import { KEPT_FOR_S, lateCopiesS, playTrouble, type Troubled } from './troubles.js';
 
 const STATE = { host: '10.2.0.1', port: 2379 };
 const CLOUD = { host: '10.2.0.2', port: 8443 };
@@ -68,6 +68,8 @@
   /** Every few seconds, from the day's beginning. */
   readonly timeline: readonly RegionMoment[];
   readonly breaches: readonly Breach[];
+  /** Starts of tasks whose user had been told that the job is cancelled, and how long after that the last was. */
+  readonly startsAfterCancel: { readonly count: number; readonly latestMs: number };
   readonly defects: readonly string[];
   readonly open: readonly string[];
   /** Why the day has failed although every rule was kept: classes, teams or large jobs that were not served. */
@@ -277,6 +279,7 @@
       machinesUp: this.parts.cloud.up.length,
       controllersUp: this.controllers.filter(({ process }) => process?.running === true).length,
     });
+    this.parts.checker.look(this.parts.rooms);
     this.world.plan(this.world.now + LOOK_EVERY_MS, () => this.look());
   }
 
@@ -292,14 +295,20 @@
     // A rollout's last replacement is a trouble, too, and whatever ends needs a moment until users ask again.
     const ends = this.day.troubles.map((trouble) =>
       'for_s' in trouble
-        ? trouble.at_s + trouble.for_s + ('late_s' in trouble ? trouble.late_s : 0)
+        ? trouble.at_s + trouble.for_s + (trouble.kind === 'reports_again' ? this.lateS(trouble) : 0)
         : trouble.at_s + ('gap_s' in trouble ? trouble.gap_s * this.controllers.length : 0) + this.downOf(trouble),
     );
     this.parts.checker.quietFrom = Math.max(0, ...ends) * 1000;
     for (const trouble of this.day.troubles) this.world.plan(trouble.at_s * 1000, () => playTrouble(trouble, this));
   }
 
+  /** How late copies of reports come: well over a lease, where the day doesn't say. */
+  private lateS({ late_s, for_next }: Extract<Trouble, { kind: 'reports_again' }>): number {
+    return late_s ?? lateCopiesS(this.day) + (for_next === true ? KEPT_FOR_S : 0);
+  }
+
   private downOf(trouble: Trouble): number {
+    if (trouble.kind === 'cancel_now') return trouble.hang_s ?? 0;
     return ('down_s' in trouble ? trouble.down_s : undefined) ?? this.day.controllers.restart_s;
   }
 
@@ -335,6 +344,7 @@
       controllerStarts: this.controllers.reduce((sum, { starts }) => sum + starts, 0),
       timeline: this.timeline,
       breaches: parts.checker.breaches,
+      startsAfterCancel: parts.checker.startsAfterCancel,
       defects: this.world.defects.map((error) =>
         error instanceof Error ? (error.stack ?? error.message) : String(error),
       ),
--- a/packages/region/src/troubles.ts
+++ b/packages/region/src/troubles.ts
@@ -1,5 +1,6 @@
+import { isObject } from '../../../src/kernel/index.js';
 import type { Day, Trouble } from './day/index.js';
-import type { Machine } from './models/index.js';
+import type { Machine, WorkerModel } from './models/index.js';
 import type { Controller } from './controller.js';
 import type { RegionParts } from './parts.js';
 import type { Cut, CutKind, Host, Luck, Network, SimProcess, World } from './sim/index.js';
@@ -27,6 +28,71 @@
   replace(controller: Controller, to: string, downS: number, leave: boolean): void;
 }
 
+const MOST_HANG = 8;
+
+/** Machines hang: their lease ends all the same, and they may go on within it. */
+export function hang(region: Troubled, chosen: readonly WorkerModel[], forS: number): void {
+  const { parts, world } = region;
+  const hung = chosen.filter(({ machine }) => parts.workers.has(machine.id));
+  for (const worker of hung) {
+    worker.pause();
+    region.processOf(worker.machine.id)?.freeze();
+  }
+  world.plan(world.now + forS * 1000, () => {
+    for (const worker of hung) {
+      if (!parts.workers.has(worker.machine.id)) continue;
+      worker.resume();
+      region.processOf(worker.machine.id)?.thaw();
+    }
+  });
+}
+
+/** Copies that are kept for the next leader are given to it for so long after the last was made. */
+export const KEPT_FOR_S = 40;
+const MOST_KEPT = 400;
+const KEPT_LOOK_MS = 50;
+
+/** How late copies of reports come at most, where a day doesn't say: well over a lease. */
+export const lateCopiesS = (day: Day): number => 1.7 * day.workers.lease_s;
+
+/** Who leads and who holds which shard, as far as it is told by lives. */
+function rolesIn(region: Troubled): string {
+  const { state } = region.parts;
+  const shards = state.under('live/shards/').map((key) => state.get(key));
+  return JSON.stringify([
+    state.get('live/leader'),
+    shards.map((shard) => (isObject(shard) ? [shard['holder'], shard['incarnation']] : null)),
+  ]);
+}
+
+/** Copies of reports wait until another leads or holds a shard, and then reach every controller. */
+function keepReports(region: Troubled, share: number, forS: number): void {
+  const { parts, world, luck } = region;
+  const kept: unknown[] = [];
+  const keep = (body: unknown): void => {
+    kept.push(body);
+    if (kept.length > MOST_KEPT) kept.shift();
+  };
+  const copies = { share, lateMs: 0, keep };
+  parts.copies = copies;
+  const endAt = world.now + forS * 1000;
+  world.plan(endAt, () => {
+    if (parts.copies === copies) parts.copies = null;
+  });
+  let roles = rolesIn(region);
+  const look = (): void => {
+    const now = rolesIn(region);
+    if (now !== roles) {
+      roles = now;
+      for (const body of kept.splice(0)) {
+        world.plan(world.now + luck.between(0, 1500), () => parts.deliverReport(body));
+      }
+    }
+    if (world.now < endAt + KEPT_FOR_S * 1000) world.plan(world.now + KEPT_LOOK_MS, look);
+  };
+  look();
+}
+
 /** What a controller is cut off from. */
 const SIDES: Record<Of<'controller_cut'>['from'], (other: Host) => boolean> = {
   all: () => true,
@@ -85,18 +151,7 @@
       for (const machine of drawn(region, trouble)) parts.cloud.die(machine);
       break;
     case 'machines_hang': {
-      const chosen = workersOf(drawn(region, trouble));
-      for (const worker of chosen) {
-        worker.pause();
-        region.processOf(worker.machine.id)?.freeze();
-      }
-      after(trouble.for_s, () => {
-        for (const worker of chosen) {
-          if (!parts.workers.has(worker.machine.id)) continue;
-          worker.resume();
-          region.processOf(worker.machine.id)?.thaw();
-        }
-      });
+      hang(region, workersOf(drawn(region, trouble)), trouble.for_s);
       break;
     }
     case 'machines_cut': {
@@ -189,8 +244,58 @@
       });
       break;
     }
+    case 'machines_mute': {
+      const chosen = workersOf(drawn(region, trouble));
+      for (const worker of chosen) worker.mute = true;
+      after(trouble.for_s, () => {
+        for (const worker of chosen) worker.mute = false;
+      });
+      break;
+    }
+    case 'commands_held': {
+      const chosen = workersOf(drawn(region, trouble));
+      for (const worker of chosen) worker.holdsCommands = true;
+      after(trouble.for_s, () => {
+        for (const worker of chosen) worker.holdsCommands = false;
+      });
+      break;
+    }
+    case 'cancel_now': {
+      const views = parts.users.close.cancelNow(trouble.count, ({ spec }) => parts.machinesOf(spec.ref).length > 0);
+      const { hang_s } = trouble;
+      if (hang_s === undefined) break;
+      const machines = new Set(views.flatMap(({ job }) => parts.machinesOf(job.spec.ref)));
+      // Within the fifth of a second in which their jobs are cancelled: some before, some after.
+      for (const worker of [...machines].slice(0, MOST_HANG))
+        world.plan(world.now + region.luck.between(0, 250), () => hang(region, [worker], hang_s));
+      break;
+    }
+    case 'cancel_at_end':
+      parts.users.close.habits.cancelsAtEnd = trouble.share;
+      after(trouble.for_s, () => (parts.users.close.habits.cancelsAtEnd = 0));
+      break;
+    case 'odd_requests':
+      parts.users.close.habits.odd = true;
+      after(trouble.for_s, () => (parts.users.close.habits.odd = false));
+      break;
+    case 'close_looks':
+      parts.users.close.habits.looks = true;
+      after(trouble.for_s, () => (parts.users.close.habits.looks = false));
+      break;
+    case 'answers_held':
+      parts.state.heldAnswers = trouble.share;
+      after(trouble.for_s, () => (parts.state.heldAnswers = 0));
+      break;
+    case 'boots_at_once':
+      parts.cloud.bootsAtOnce = true;
+      after(trouble.for_s, () => (parts.cloud.bootsAtOnce = false));
+      break;
     case 'reports_again': {
-      const again = { share: trouble.share, lateMs: trouble.late_s * 1000 };
+      if (trouble.for_next === true) {
+        keepReports(region, trouble.share, trouble.for_s);
+        break;
+      }
+      const again = { share: trouble.share, lateMs: (trouble.late_s ?? lateCopiesS(day)) * 1000 };
       parts.copies = again;
       after(trouble.for_s, () => {
         if (parts.copies === again) parts.copies = null;
@@ -210,6 +315,7 @@
       break;
     case 'late_writes':
       parts.state.lateWrites = trouble.share;
+      parts.state.lateAtOnce = trouble.at_once === true;
       after(trouble.for_s, () => (parts.state.lateWrites = 0));
       break;
     case 'watch_forgets':
