--- a/src/holder/moves.ts
+++ b/src/holder/moves.ts
@@ -199,8 +199,9 @@
       return false;
     }
     const next = encodeShard({ ...value, earlier: [...this.held.earlier.values()], released: true, next: to });
+    // From here on nothing is commanded until it is through: not behind users' submissions.
     const result = await this.held.deps.state.txn(
-      Urgency.shard,
+      Urgency.session,
       [{ key: shardKey(this.held.shard), version: own.version }],
       [{ put: shardKey(this.held.shard), value: next }],
     );
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -167,8 +167,9 @@
     if (this.directory.unreadable.size > 0 || !this.hooks.mayLead()) return this.standDown();
     if (this.mirror.get(LEADER)) return;
     const value = { node: this.self, incarnation: this.incarnation };
+    // Not behind users' submissions: in a rush nobody would lead for as long as it lasts.
     const result = await this.state.txn(
-      Urgency.shard,
+      Urgency.session,
       [
         { key: LEADER, version: 0 },
         { key: nodeKey(this.self), version: this.nodeVersion },
@@ -185,7 +186,7 @@
   private async standDown(): Promise<void> {
     const { leading } = this;
     if (leading === null) return;
-    const result = await this.state.txn(Urgency.shard, [{ key: LEADER, version: leading }], [{ remove: LEADER }]);
+    const result = await this.state.txn(Urgency.session, [{ key: LEADER, version: leading }], [{ remove: LEADER }]);
     if (result.kind !== 'ok') return;
     this.mirror.apply({ key: LEADER, value: undefined, removed: true, version: result.revision });
     this.log.info('this node leads no more');
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import { incarnation, nodeName, type Incarnation } from '../src/kernel/index.js';
 import { Membership, ShardDirectory } from '../src/membership/index.js';
-import { LIVE, Mirror, nodeKey, StateClient } from '../src/state/index.js';
+import { LEADER, LIVE, Mirror, nodeKey, StateClient, Urgency } from '../src/state/index.js';
 import { Lab } from '../packages/region/src/index.js';
 
 const lab = new Lab();
@@ -60,3 +60,37 @@
   await lab.settle(third.keep());
   assert.ok(third.registered && holder() === name);
 });
+
+test('in a rush of submissions beyond its part of the changes a node is elected all the same', async () => {
+  const runtime = lab.process('10.0.1.50');
+  const client = new StateClient(address, { rps: 1000, writeRps: 6 }, lab.log, runtime);
+  const mirror = new Mirror(client, LIVE, runtime, lab.log);
+  const hooks = {
+    ...{ held: () => [], verify: () => Promise.resolve(true), mayClaim: () => true, mayLead: () => true },
+    ...{ paged: () => false, announcement: () => ({}) },
+  };
+  const name = nodeName('n-rush');
+  const life = incarnation('rush');
+  const directory = new ShardDirectory(mirror);
+  const node = new Membership(name, [], life, client, mirror, directory, hooks, runtime, lab.log);
+  await lab.settle(node.keep());
+  assert.ok(node.registered);
+  // Twenty a second, where it may make six, each as urgent as a submission.
+  let refused = 0;
+  const rush = runtime.every(50, () => {
+    const key = `live/rush/${runtime.now()}`;
+    void client.txn(Urgency.accept, [], [{ put: key, value: 1 }], 1500).then(({ kind }) => {
+      if (kind === 'refused') refused += 1;
+    });
+  });
+  const kept = runtime.every(1000, () => void node.keep());
+  await lab.pass(5000);
+  assert.ok(refused > 20, `${refused} submissions found no room`);
+  const since = runtime.now();
+  for (let i = 0; i < 3 && !state.get(LEADER); i++) await lab.settle(node.elect());
+  const waitedMs = runtime.now() - since;
+  rush.cancel();
+  kept.cancel();
+  assert.deepEqual(state.get(LEADER), { node: name, incarnation: life });
+  assert.ok(waitedMs < 1000, `${waitedMs} ms`);
+});
