--- a/packages/region/src/index.ts
+++ b/packages/region/src/index.ts
@@ -10,6 +10,5 @@
 export * from './settings.js';
 export { svg } from './report/index.js';
 export * from './sim/index.js';
-export * from './testkit.js';
 export type { AimResult, ClassResult, Quantiles } from './daybook.js';
 export { ListError } from './hunt/index.js';
--- a/packages/region/src/testkit.ts
+++ b/packages/region/test/lab.ts
@@ -1,7 +1,6 @@
 import { pino } from 'pino';
 import { HttpClient, type Answer, type Call, type Endpoint, type Logger } from '../../../src/kernel/index.js';
-import { StateModel, type StateFacts } from './models/index.js';
-import { Luck, Network, rest, SimProcess, World, type ClockFaults } from './sim/index.js';
+import { Luck, Network, rest, SimProcess, StateModel, World, type ClockFaults, type StateFacts } from '../src/index.js';
 
 const STATE: Endpoint = { host: '10.2.0.1', port: 2379 };
 const PATIENCE_MS = 600_000;
--- a/packages/region/test/models.test.ts
+++ b/packages/region/test/models.test.ts
@@ -8,7 +8,6 @@
   ImageStore,
   JobBook,
   JobTruth,
-  Lab,
   WorkerModel,
   type CloudFacts,
   type GangMember,
@@ -16,6 +15,7 @@
   type StateFacts,
   type Submission,
 } from '../src/index.js';
+import { Lab } from './lab.js';
 
 type Json = Record<string, unknown>;
 const fields = (value: unknown): Json => (isObject(value) ? value : {});
--- a/packages/region/test/sim.test.ts
+++ b/packages/region/test/sim.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { Lab, Luck, type Cut, type SimProcess } from '../src/index.js';
+import { Luck, type Cut, type SimProcess } from '../src/index.js';
+import { Lab } from './lab.js';
 import { played, shortDay } from './days.js';
 
 const PORT = 9;
--- a/packages/region/test/stays.test.ts
+++ b/packages/region/test/stays.test.ts
@@ -139,3 +139,34 @@
     { seed: 3, numRuns: 12, endOnFailure: true },
   );
 });
+
+test('machines that answer commands and reach no controller: nothing is started there after a while, and they are returned', async () => {
+  const muteAt = 45;
+  const day = shortDay(130, [{ kind: 'machines_mute', at_s: muteAt, for_s: 80, share: 0.4 }], 21);
+  const { report_s, lease_s } = day.workers;
+  const starts: { readonly atS: number; readonly machine: string }[] = [];
+  const region = new Region({
+    day,
+    event: (line) => {
+      const [at, what, , , machine] = line.trim().split(' ');
+      if (what === 'on') starts.push({ atS: Number(at) / 1000, machine: machine ?? '' });
+    },
+  });
+  await region.play(muteAt + 0.5);
+  const mute = new Set([...region.parts.workers].filter(([, { model }]) => model.mute).map(([id]) => id));
+  assert.ok(mute.size >= 5, String(mute.size));
+  // Once its lease is over and two reports more, and the leader has asked the cloud.
+  await region.play(muteAt + lease_s + 2 * report_s + 15);
+  assert.deepEqual(
+    [...region.parts.workers.keys()].filter((id) => mute.has(id)),
+    [],
+  );
+  await region.play();
+  const { breaches, defects } = region.close();
+  assert.deepEqual([breaches, defects], [[], []]);
+  // Images that were being fetched by then may be there a few seconds later.
+  const longestFetchS = 10;
+  const late = starts.filter((s) => mute.has(s.machine) && s.atS > muteAt + 2.5 * report_s + 1 + longestFetchS);
+  assert.deepEqual(late, []);
+  assert.ok(starts.some((s) => mute.has(s.machine)));
+});
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -24,7 +24,7 @@
 } from '../src/membership/index.js';
 import { Freshness, LIVE, Mirror, shardKey, StateClient } from '../src/state/index.js';
 import { MachineBelief, Whereabouts } from '../src/workers/index.js';
-import { Lab } from '../packages/region/src/index.js';
+import { Lab } from '../packages/region/test/lab.js';
 import { StandInWorker } from './standins/worker.js';
 
 const shard = (over: Partial<ShardValue>): ShardValue => ({
--- a/test/formats.test.ts
+++ b/test/formats.test.ts
@@ -16,7 +16,7 @@
 import { decodeShard, encodeShard, type ShardValue } from '../src/membership/index.js';
 import { formatOf, LIVE, Mirror, SETTINGS, StateClient } from '../src/state/index.js';
 import { spec } from './standins/jobs.js';
-import { Lab } from '../packages/region/src/index.js';
+import { Lab } from '../packages/region/test/lab.js';
 
 const asStored = (value: unknown): Record<string, unknown> =>
   JSON.parse(JSON.stringify(value)) as Record<string, unknown>;
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -3,7 +3,7 @@
 import { incarnation, nodeName, type Incarnation } from '../src/kernel/index.js';
 import { Membership, ShardDirectory } from '../src/membership/index.js';
 import { LEADER, LIVE, Mirror, nodeKey, StateClient, Urgency } from '../src/state/index.js';
-import { Lab } from '../packages/region/src/index.js';
+import { Lab } from '../packages/region/test/lab.js';
 
 const lab = new Lab();
 const { model: state, at: address } = lab.state();
--- a/test/mirror.test.ts
+++ b/test/mirror.test.ts
@@ -3,7 +3,7 @@
 import fc from 'fast-check';
 import { revision, type Revision } from '../src/kernel/index.js';
 import { Mirror, type Change } from '../src/state/index.js';
-import { Lab } from '../packages/region/src/index.js';
+import { Lab } from '../packages/region/test/lab.js';
 
 const KEYS = ['live/jobs/a', 'live/jobs/b'];
 const REST_MS = 150;
--- a/test/pages.test.ts
+++ b/test/pages.test.ts
@@ -17,7 +17,7 @@
 } from '../src/membership/index.js';
 import { LEADER, LIVE, Mirror, pageKey, PAGES, shardKey, StateClient, valueBytes } from '../src/state/index.js';
 import type { Guard, Op } from '../src/state/index.js';
-import { Lab } from '../packages/region/src/index.js';
+import { Lab } from '../packages/region/test/lab.js';
 
 const SHARDS = ['n-0', 'n-1'].map(shardName);
 const MACHINES = Array.from({ length: 6 }, (_, i) => `m-${i}`);
--- a/test/registry.test.ts
+++ b/test/registry.test.ts
@@ -6,7 +6,8 @@
 import { finalKey, jobKey, LIVE, Mirror, StateClient, Urgency, type StateFacts } from '../src/state/index.js';
 import type { MachineType } from '../src/cloud/index.js';
 import { spec } from './standins/jobs.js';
-import { Lab, type Spoiled } from '../packages/region/src/index.js';
+import type { Spoiled } from '../packages/region/src/index.js';
+import { Lab } from '../packages/region/test/lab.js';
 
 const lab = new Lab();
 const { log } = lab;
--- a/test/rollout.test.ts
+++ b/test/rollout.test.ts
@@ -29,7 +29,7 @@
   type Watchfulness,
 } from '../src/rollout/index.js';
 import { LIVE, Mirror, ROLLOUT_STATE, StateClient } from '../src/state/index.js';
-import { Lab } from '../packages/region/src/index.js';
+import { Lab } from '../packages/region/test/lab.js';
 
 const NAMES = ['n-0', 'n-1', 'n-2'].map(nodeName);
 const FEATURES: readonly Feature[] = [
--- a/test/sockets.test.ts
+++ b/test/sockets.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Router } from 'express';
-import { Lab } from '../packages/region/src/index.js';
+import { Lab } from '../packages/region/test/lab.js';
 import { HttpClient, machineId, millis, revision, SocketBudget } from '../src/kernel/index.js';
 import { createApp, laneRoutes, listen, type Handlers } from '../src/service/index.js';
 import { Courier, MachineBelief } from '../src/workers/index.js';
--- a/test/standins/worker.ts
+++ b/test/standins/worker.ts
@@ -4,11 +4,11 @@
   GangBook,
   JobBook,
   JobTruth,
-  Lab,
   WorkerModel,
   type Machine,
   type Submission,
 } from '../../packages/region/src/index.js';
+import { Lab } from '../../packages/region/test/lab.js';
 
 const FACTS = { reportS: 3, leaseS: 10, gangWaitS: 45, gangPeerS: 5, cancelS: 35 };
 const type = {
