--- a/packages/region/test/meetings.test.ts
+++ b/packages/region/test/meetings.test.ts
@@ -231,3 +231,21 @@
     }
   }
 });
+
+test('jobs bound to one zone, arrays too, lose machines of it while the leader ends: they are served there', async () => {
+  for (const seed of [31, 32]) {
+    const base = shortDay(
+      330,
+      [
+        { kind: 'machines_die', at_s: 50, share: 0.6, zone: 'north' },
+        { kind: 'controller_crash', at_s: 51, controller: 'leader', down_s: 5 },
+        { kind: 'machines_die', at_s: 70, share: 0.5, zone: 'north' },
+      ],
+      seed,
+    );
+    const bound = base.classes.map((c) => (c.name === 'letters' ? { ...c, zone: 'north', initial: 8 } : c));
+    const { result } = await kept({ ...base, classes: bound, quiet_end_s: 100 });
+    assert.deepEqual(result.failures, []);
+    assert.ok(result.classes.every(({ name, served }) => name !== 'letters' || (served ?? 0) > 0.9));
+  }
+});
--- a/src/holder/holder.ts
+++ b/src/holder/holder.ts
@@ -203,6 +203,12 @@
       // It answers commands and reaches no controller, while others of the block do: no lease of its lasts.
       const mute =
         now - machine.belief.lastReportAt > leaseMs + 2 * reportMs && reportedLately * 2 > this.machines.size;
+      if (mute !== machine.mute)
+        this.deps.log.info(
+          { machine: machine.id },
+          mute ? 'a machine answers commands and reaches no controller: it is given up' : 'the machine reports again',
+        );
+      machine.mute = mute;
       machines.push({
         id: machine.id,
         type: machine.info.type,
--- a/src/holder/machine.ts
+++ b/src/holder/machine.ts
@@ -32,6 +32,8 @@
   noticeUntil: Millis | null = null;
   coolUntil: Millis;
   emptySince: Millis;
+  /** It answers commands, and none of its reports has come for longer than a lease. */
+  mute = false;
   /** The lease is over and the worker has not come back. */
   lost = false;
   /** Since when it is known to list tasks of jobs that are over; null: it doesn't. */
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -24,6 +24,7 @@
   type Plan,
   type Room,
 } from './model.js';
+import { firstTasks } from './begin.js';
 import { lateReplicas, type Left, besideGangs, placeGang, preempt, preemptForGang } from './preempt.js';
 
 export function planPlacement(input: PlanInput): Plan {
@@ -149,6 +150,9 @@
     }
   }
   const beside = besideGangs(left, rooms, input, withinLimit, charge);
+  const begun = new Set(starts.map(({ job }) => job));
+  const most = input.maxStarts - starts.length - beside.length;
+  beside.push(...firstTasks(input, rooms, begun, withinLimit, charge, most));
   starts.push(...beside);
   const found = new Map<JobId, number>();
   for (const start of beside) found.set(start.job, (found.get(start.job) ?? 0) + 1);
