--- a/src/holder/holder.ts
+++ b/src/holder/holder.ts
@@ -201,14 +201,14 @@
       const dead =
         machine.courier.failures >= 2 && silentMs > 2 * reportMs + 1500 && heardLately * 2 > this.machines.size;
       // It answers commands and reaches no controller, while others of the block do: no lease of its lasts.
-      const mute =
-        now - machine.belief.lastReportAt > leaseMs + 2 * reportMs && reportedLately * 2 > this.machines.size;
-      if (mute !== machine.mute)
-        this.deps.log.info(
-          { machine: machine.id },
-          mute ? 'a machine answers commands and reaches no controller: it is given up' : 'the machine reports again',
-        );
-      machine.mute = mute;
+      const unreportedMs = now - machine.belief.lastReportAt;
+      const answers = silentMs < 2.5 * reportMs;
+      const mute = answers && unreportedMs > leaseMs + 2 * reportMs && reportedLately * 2 > this.machines.size;
+      if (mute !== machine.mute && (mute || unreportedMs < 2.5 * reportMs)) {
+        machine.mute = mute;
+        const what = mute ? 'a machine answers commands and reaches no controller: it is given up' : 'it reports again';
+        this.deps.log.info({ machine: machine.id }, what);
+      }
       machines.push({
         id: machine.id,
         type: machine.info.type,
