--- a/packages/region/src/day/read.ts
+++ b/packages/region/src/day/read.ts
@@ -128,6 +128,8 @@
       return { path: [...path, 'controller'], message: `there are ${day.controllers.count} controllers, from 0` };
     if (trouble.kind === 'rollout' && trouble.order?.some((which) => which >= day.controllers.count))
       return { path: [...path, 'order'], message: `there are ${day.controllers.count} controllers, from 0` };
+    if (trouble.kind === 'reports_again' && trouble.for_next === true && trouble.late_s !== undefined)
+      return { path: [...path, 'late_s'], message: 'copies that wait for the next leader have no time of their own' };
     if (trouble.kind.startsWith('machines_') || trouble.kind === 'commands_held') {
       const { count, share } = trouble as { readonly count?: number; readonly share?: number };
       if ((count === undefined) === (share === undefined)) return { path, message: 'needs either a count or a share' };
--- a/packages/region/test/day.test.ts
+++ b/packages/region/test/day.test.ts
@@ -42,6 +42,26 @@
   assert.throws(() => readDay(nobody, 'm'), /troubles\.0\.controller: there are 3 controllers, from 0/);
 });
 
+test("the operators' names of troubles are taken; shares beyond 1, missing and contradicting fields are named", () => {
+  const day = (trouble: string): string => `${dayText('quiet')}\n[[troubles]]\nat_s = 7.0\n${trouble}\n`;
+  const kindOf = (trouble: string): string | undefined => readDay(day(trouble), 'm').troubles[0]?.kind;
+  assert.equal(kindOf('kind = "machine_mute"\nfor_s = 3.0\nshare = 0.2'), 'machines_mute');
+  assert.equal(kindOf('kind = "machine_deaf"\nfor_s = 3.0\ncount = 2'), 'machines_deaf');
+  assert.equal(kindOf('kind = "late_reports"\nfor_s = 3.0\nshare = 0.2\nfor_next = true'), 'reports_again');
+  const wrong: readonly (readonly [string, RegExp])[] = [
+    ['kind = "machine_mute"\nfor_s = 3.0\nshare = 2.0', /troubles\.0\.share: /],
+    ['kind = "machine_mute"\nfor_s = 3.0', /troubles\.0: needs either a count or a share/],
+    ['kind = "cancel_now"', /troubles\.0\.count: /],
+    ['kind = "cancel_at_end"\nfor_s = 3.0', /troubles\.0\.share: /],
+    [
+      'kind = "late_reports"\nfor_s = 3.0\nshare = 0.2\nfor_next = true\nlate_s = 4.0',
+      /troubles\.0\.late_s: copies that wait/,
+    ],
+    ['kind = "close_look"\nfor_s = 3.0', /troubles\.0\.kind: /],
+  ];
+  for (const [trouble, says] of wrong) assert.throws(() => readDay(day(trouble), 'm'), says);
+});
+
 test('the days that ship are read, and every drawn schedule is a day that is read as it was written', () => {
   for (const name of ['quiet', 'night', 'storm']) assert.equal(shippedDay(name).name, name);
   const base = shortDay(300, []);
