--- a/packages/region/src/models/close.ts
+++ b/packages/region/src/models/close.ts
@@ -1,12 +1,6 @@
-import {
-  HttpClient,
-  isObject,
-  type Answer,
-  type Call,
-  type Endpoint,
-  type Runtime,
-} from '../../../../src/kernel/index.js';
+import { HttpClient, type Answer, type Call, type Endpoint, type Runtime } from '../../../../src/kernel/index.js';
 import type { Luck } from '../sim/index.js';
+import { phaseOf, statusOf } from './answers.js';
 import type { JobTruth, Submission } from './jobs.js';
 import type { UserView, UserWitness } from './users.js';
 
@@ -42,16 +36,10 @@
 const LONG_S = 20;
 const MAY_BE_NULL = new Set(['hulls', 'berth', 'due_s', 'awaits']);
 
-const phaseOf = (answer: Answer): unknown =>
-  answer.kind === 'answered' && isObject(answer.body) ? answer.body['phase'] : undefined;
-const statusOf = (answer: Answer): number | null => (answer.kind === 'answered' ? answer.status : null);
-
 /** Users that ask all nodes at once, repeat themselves at the worst moment, and send what can't be taken. */
 export class CloseUsers {
   readonly habits: CloseHabits = { looks: false, odd: false, cancelsAtEnd: 0 };
   private ended = false;
-  /** How long each user waited until the job was accepted. */
-  readonly acceptedAfterMs: number[] = [];
 
   constructor(private readonly deps: CloseDeps) {}
 
@@ -68,7 +56,6 @@
   /** A job was accepted, or called done or cancelled, by some node. */
   told(view: UserView, what: 'accepted' | 'over'): void {
     const { runtime, luck, nodes, checker } = this.deps;
-    if (what === 'accepted' && view.acceptedAt !== null) this.acceptedAfterMs.push(view.acceptedAt - view.submittedAt);
     if (!this.habits.looks || this.ended) return;
     const { spec } = view.job;
     for (let round = 0; round < LOOK_ROUNDS; round++) {
@@ -77,11 +64,10 @@
     const again = luck.pick(nodes);
     if (again)
       runtime.after(luck.between(0, LOOKS_WITHIN_MS), () => {
-        void this.directly(again, 'POST', '/v1/jobs', SUBMIT_MS, spec, checker.asks(spec.ref)).then(
-          ([answer, asked]) => {
-            if (answer.kind === 'answered') checker.submitAnswered(spec.ref, answer.status, phaseOf(answer), asked);
-          },
-        );
+        const asked = checker.asks(spec.ref);
+        void this.directly(again, 'POST', '/v1/jobs', SUBMIT_MS, spec).then((answer) => {
+          if (answer.kind === 'answered') checker.submitAnswered(spec.ref, answer.status, phaseOf(answer), asked);
+        });
       });
     if (what === 'accepted' && luck.chance(CANCELS_AT_ONCE))
       runtime.after(luck.between(0, LOOKS_WITHIN_MS), () => this.deps.cancel(view));
@@ -109,22 +95,22 @@
   private async ask(node: Endpoint, view: UserView): Promise<void> {
     const { checker } = this.deps;
     const { ref } = view.job.spec;
-    const [answer, asked] = await this.directly(node, 'GET', `/v1/jobs/${ref}`, POLL_MS, undefined, checker.asks(ref));
+    const asked = checker.asks(ref);
+    const answer = await this.directly(node, 'GET', `/v1/jobs/${ref}`, POLL_MS);
     checker.polled(ref, statusOf(answer), phaseOf(answer), asked);
   }
 
-  private async directly<A>(
+  private async directly(
     node: Endpoint,
     method: Call['method'],
     path: string,
     timeoutMs: number,
-    body: unknown,
-    asked: A,
-  ): Promise<readonly [Answer, A]> {
+    body?: unknown,
+  ): Promise<Answer> {
     const client = new HttpClient(node, 1, this.deps.runtime);
     const answer = await client.call({ method, path, timeoutMs, ...(body === undefined ? {} : { body }) });
     client.close();
-    return [answer, asked];
+    return answer;
   }
 
   private oddRequest(): void {
@@ -143,7 +129,7 @@
         if (!done) return;
         const { ref } = done.job.spec;
         const asked = checker.asks(ref);
-        void this.directly(node, 'POST', `/v1/jobs/${ref}/cancel`, SUBMIT_MS, {}, asked).then(([answer]) => {
+        void this.directly(node, 'POST', `/v1/jobs/${ref}/cancel`, SUBMIT_MS, {}).then((answer) => {
           if (answer.kind === 'answered') checker.cancelAnswered(ref, answer.status, phaseOf(answer), asked);
         });
         return;
@@ -156,7 +142,7 @@
           { hulls: ['no-such-type'] },
           { owner: 'no-such-team' },
         ]);
-        void this.directly(node, 'POST', '/v1/jobs', SUBMIT_MS, { ...spec, ...impossible }, null).then(([answer]) =>
+        void this.directly(node, 'POST', '/v1/jobs', SUBMIT_MS, { ...spec, ...impossible }).then((answer) =>
           checker.oddAnswered(`${spec.ref} that can never run`, 422, statusOf(answer)),
         );
         return;
@@ -165,7 +151,7 @@
         const whole = Object.entries(this.deps.draft());
         const field = luck.pick(whole.map(([name]) => name).filter((name) => !MAY_BE_NULL.has(name)));
         const spec = Object.fromEntries(whole.filter(([name]) => name !== field));
-        void this.directly(node, 'POST', '/v1/jobs', SUBMIT_MS, spec, null).then(([answer]) =>
+        void this.directly(node, 'POST', '/v1/jobs', SUBMIT_MS, spec).then((answer) =>
           checker.oddAnswered(`one without ${field ?? ''}`, 400, statusOf(answer)),
         );
       }
--- a/packages/region/src/models/users.ts
+++ b/packages/region/src/models/users.ts
@@ -1,7 +1,8 @@
-import { isObject, type Answer, type Endpoint, type Runtime } from '../../../../src/kernel/index.js';
+import type { Answer, Endpoint, Runtime } from '../../../../src/kernel/index.js';
 import type { Day, DayClass, DayPipeline } from '../day/index.js';
 import { Luck } from '../sim/index.js';
 import type { Balancer, UserSession } from './balancer.js';
+import { phaseOf, statusOf } from './answers.js';
 import { CloseUsers } from './close.js';
 import { JobTruth, type JobBook, type Submission } from './jobs.js';
 import type { ScriptedJob } from './script.js';
@@ -68,14 +69,12 @@
 const ASKS_AGAIN = 0.05;
 const LONGEST_LUCK = 20;
 
-const phaseOf = (answer: Answer): unknown =>
-  answer.kind === 'answered' && isObject(answer.body) ? answer.body['phase'] : undefined;
-
 /** Users, by the protocol: they submit, retry, poll, cancel, repeat themselves, and ask about jobs that never were. */
 export class UserModel {
   private readonly factors = new Map<string, number>();
   private readonly used = new Set<string>();
-  private readonly accepted: UserView[] = [];
+  /** Jobs that were accepted, in that order. */
+  readonly accepted: UserView[] = [];
   private ended = false;
   readonly close: CloseUsers;
 
@@ -311,7 +310,7 @@
     for (;;) {
       const answer = await this.submitOnce(session, view);
       if (view.acceptedAt !== null) return true;
-      const status = answer.kind === 'answered' ? answer.status : null;
+      const status = statusOf(answer);
       if (status === 400 || status === 422) {
         view.refused = true;
         return false;
@@ -360,7 +359,7 @@
     const asked = this.deps.checker.asks(ref);
     const answer = await session.call({ method: 'GET', path: `/v1/jobs/${ref}`, timeoutMs: POLL_TIMEOUT_MS });
     const phase = phaseOf(answer);
-    this.deps.checker.polled(ref, answer.kind === 'answered' ? answer.status : null, phase, asked);
+    this.deps.checker.polled(ref, statusOf(answer), phase, asked);
     if (phase === 'done' || phase === 'withdrawn') this.over(view, phase);
   }
 
@@ -399,7 +398,7 @@
     const session = this.deps.balancer.session();
     const asked = this.deps.checker.asks(ref);
     const answer = await session.call({ method: 'GET', path: `/v1/jobs/${ref}`, timeoutMs: POLL_TIMEOUT_MS });
-    this.deps.checker.polled(ref, answer.kind === 'answered' ? answer.status : null, phaseOf(answer), asked);
+    this.deps.checker.polled(ref, statusOf(answer), phaseOf(answer), asked);
     session.close();
   }
 }
--- a/packages/region/test/meetings.test.ts
+++ b/packages/region/test/meetings.test.ts
@@ -177,7 +177,8 @@
   await region.play();
   const { breaches, defects } = region.close();
   assert.deepEqual([breaches, defects], [[], []]);
-  return region.parts.users.close.acceptedAfterMs.sort((a, b) => a - b);
+  const { accepted } = region.parts.users;
+  return accepted.map(({ acceptedAt, submittedAt }) => (acceptedAt ?? Infinity) - submittedAt).sort((a, b) => a - b);
 }
 
 test('one-task jobs come four a second, a quarter cancelled, under 20 changes a second: users hardly wait, and a leader ends', async () => {
