Commit waiting settings changes together and retry lost races

Cause: all operators' settings are one record, and each change was a guarded write of its own that gave up after four lost races.

Change: changes that arrive while a write is under way are committed together by the next one; a lost race is retried on the fresh record after a random pause until a deadline of 3.5 s. The outcome is told per change: stored, of a later release, too large for one value (413), or unavailable. The queue of a node is bounded. `admin status` tells the revision of the settings that a node acts on.

--- a/src/admin/api.ts
+++ b/src/admin/api.ts
@@ -1,13 +1,7 @@
 import { Router, type Response } from 'express';
 import { rolloutRouter, type RolloutDesk } from './rollout.js';
-import {
-  encodeSettings,
-  mark,
-  parseTunables,
-  type MachineMark,
-  type OperatorSettings,
-  type SettingsStore,
-} from './settings.js';
+import { encodeSettings, mark, parseTunables, type MachineMark } from './settings.js';
+import type { SettingsResult, SettingsStore } from './store.js';
 
 const MARKS: readonly MachineMark[] = ['cordon', 'drain', 'uncordon'];
 const MACHINE = /^[A-Za-z0-9._-]{1,100}$/;
@@ -22,6 +16,18 @@
 const MOST_EVENTS = 1000;
 const COUNT = /^\d{1,15}$/;
 
+const LATER = { error: 'the state service gives no answer, try again' };
+const FOREIGN = { error: 'the settings are of a later release, which this one leaves alone' };
+const TOO_LARGE = { error: 'the settings would be longer than the state service takes as one value' };
+
+/** Answers with the settings as they are stored, or with why they could not be read or changed. */
+function answerSettings(res: Response, result: SettingsResult): void {
+  if (result.kind === 'stored') res.json(encodeSettings(result.settings));
+  else if (result.kind === 'foreign') res.status(409).json(FOREIGN);
+  else if (result.kind === 'too-large') res.status(413).json(TOO_LARGE);
+  else res.status(503).set('Retry-After', '1').json(LATER);
+}
+
 /** A whole number from the query; null when it is none. */
 function count(text: unknown, fallback: number): number | null {
   if (text === undefined) return fallback;
@@ -37,14 +43,6 @@
 ): Router {
   const router = Router();
   router.use(rolloutRouter(rollout));
-  const later = { error: 'the state service gives no answer, try again' };
-  const foreign = { error: 'the settings are of a later release, which this one leaves alone' };
-  const answer = (res: Response, settings: OperatorSettings | 'foreign' | null): void => {
-    if (settings === 'foreign') res.status(409).json(foreign);
-    else if (settings) res.json(encodeSettings(settings));
-    else res.status(503).set('Retry-After', '1').json(later);
-  };
-
   router.get('/status', (_req, res) => {
     res.json(status());
   });
@@ -65,7 +63,7 @@
 
   router.get('/settings', async (_req, res) => {
     const settings = await store.read();
-    answer(res, settings);
+    answerSettings(res, settings);
   });
 
   router.patch('/settings/tunables', async (req, res) => {
@@ -76,7 +74,7 @@
     }
     const given = Object.fromEntries(Object.entries(parsed.patch).filter(([, value]) => value !== undefined));
     const settings = await store.change((s) => ({ ...s, tunables: { ...s.tunables, ...given } }));
-    answer(res, settings);
+    answerSettings(res, settings);
   });
 
   router.post('/machines/:id/:mark', async (req, res) => {
@@ -87,7 +85,7 @@
       return;
     }
     const settings = await store.change((s) => mark(s, id, how));
-    answer(res, settings);
+    answerSettings(res, settings);
   });
   return router;
 }
--- a/src/admin/index.ts
+++ b/src/admin/index.ts
@@ -1,3 +1,4 @@
 export * from './api.js';
 export * from './rollout.js';
 export * from './settings.js';
+export * from './store.js';
--- a/src/admin/settings.ts
+++ b/src/admin/settings.ts
@@ -1,15 +1,7 @@
 import * as v from 'valibot';
 import { isObject } from '../kernel/index.js';
 import { DEFAULT_TUNABLES, type Tunables } from '../speculation/index.js';
-import {
-  isForeign,
-  SETTINGS,
-  unknownFields,
-  Urgency,
-  type Fields,
-  type Mirror,
-  type StateClient,
-} from '../state/index.js';
+import { isForeign, unknownFields, type Fields } from '../state/index.js';
 
 /** What operators set. Stored in the state service and taken up by every node through the watch. */
 export interface OperatorSettings {
@@ -88,50 +80,3 @@
   if (how === 'drain') drained.add(machine);
   return { ...s, cordoned, drained };
 }
-
-/** Reads, changes and stores the settings under guard; null when the state service gave no answer. */
-export class SettingsStore {
-  private decoded: { readonly value: unknown; readonly settings: OperatorSettings } | undefined;
-
-  constructor(
-    private readonly state: StateClient,
-    private readonly mirror: Mirror,
-  ) {}
-
-  /** Asked for every machine in every round: decoded once for each value. */
-  get current(): OperatorSettings {
-    const value = this.mirror.get(SETTINGS)?.value;
-    if (!this.decoded || this.decoded.value !== value) {
-      // Those of a later release can't be read: what was known last goes on.
-      const known = isForeign(value, SETTINGS_FORMAT) ? this.decoded?.settings : undefined;
-      this.decoded = { value, settings: known ?? decodeSettings(value) };
-    }
-    return this.decoded.settings;
-  }
-
-  async read(): Promise<OperatorSettings | 'foreign' | null> {
-    const read = await this.state.get(SETTINGS);
-    if (read.kind === 'unavailable') return null;
-    if (read.kind === 'found' && isForeign(read.entry.value, SETTINGS_FORMAT)) return 'foreign';
-    return decodeSettings(read.kind === 'found' ? read.entry.value : null);
-  }
-
-  /** 'foreign': they are of a later release, which this one must not write over. */
-  async change(how: (settings: OperatorSettings) => OperatorSettings): Promise<OperatorSettings | 'foreign' | null> {
-    for (let tries = 0; tries < 4; tries++) {
-      const read = await this.state.get(SETTINGS);
-      if (read.kind === 'unavailable') return null;
-      if (read.kind === 'found' && isForeign(read.entry.value, SETTINGS_FORMAT)) return 'foreign';
-      const next = how(decodeSettings(read.kind === 'found' ? read.entry.value : null));
-      const version = read.kind === 'found' ? read.entry.version : 0;
-      const value = encodeSettings(next);
-      const result = await this.state.txn(Urgency.accept, [{ key: SETTINGS, version }], [{ put: SETTINGS, value }]);
-      if (result.kind === 'ok') {
-        this.mirror.apply({ key: SETTINGS, value, removed: false, version: result.revision });
-        return next;
-      }
-      if (result.kind === 'refused') return null;
-    }
-    return null;
-  }
-}
--- a/src/service/service.ts
+++ b/src/service/service.ts
@@ -238,7 +238,7 @@
       ...{ state: this.state, mirror: this.mirror, directory: this.directory },
       ...{ switches: this.switches, conductor: this.conductor },
     });
-    this.settingsStore = new SettingsStore(this.state, this.mirror);
+    this.settingsStore = new SettingsStore(this.state, this.mirror, runtime);
     this.desk = new UserDesk(
       this.registry,
       this.peers,
@@ -491,6 +491,7 @@
       incarnation: this.incarnation,
       leader: this.membership.leader,
       stateAvailable: this.state.available,
+      settingsRevision: this.settingsStore.revision,
       stateLimits: { fallen: this.state.limits.fallen, writeRps: this.state.limits.writeRps },
       pipelines: this.steward.counts,
       ...{ cancellations: this.carrier.status, heldBack: this.tenure.heldBack },
--- a/test/formats.test.ts
+++ b/test/formats.test.ts
@@ -85,16 +85,16 @@
   const runtime = lab.process('10.0.0.1');
   const client = new StateClient(at, { rps: 100, writeRps: 100 }, lab.log, runtime);
   const mirror = new Mirror(client, LIVE, runtime, lab.log);
-  const store = new SettingsStore(client, mirror);
+  const store = new SettingsStore(client, mirror, runtime);
   const changed = await lab.settle(store.change((s) => mark(s, 'm-1', 'cordon')));
-  assert.ok(changed !== null && changed !== 'foreign');
+  assert.equal(changed.kind, 'stored');
   assert.ok(store.current.cordoned.has('m-1'));
   const later = { v: 2, marks: [['m-1', 'cordon']] };
   model.put(SETTINGS, later);
   mirror.apply({ key: SETTINGS, value: later, removed: false, version: revision(model.revision) });
   assert.ok(store.current.cordoned.has('m-1'));
-  assert.equal(await lab.settle(store.change((s) => mark(s, 'm-1', 'uncordon'))), 'foreign');
-  assert.equal(await lab.settle(store.read()), 'foreign');
+  assert.equal((await lab.settle(store.change((s) => mark(s, 'm-1', 'uncordon')))).kind, 'foreign');
+  assert.equal((await lab.settle(store.read())).kind, 'foreign');
   assert.deepEqual(model.get(SETTINGS), later);
 });
 
