--- a/packages/region/src/cli/command.ts
+++ b/packages/region/src/cli/command.ts
@@ -3,7 +3,7 @@
 import { SingleBar, Presets } from 'cli-progress';
 import { Command, InvalidArgumentError, Option } from 'commander';
 import { createLogger, systemRuntime } from '../../../../src/kernel/index.js';
-import { readDay, type Day } from '../day/index.js';
+import { scaledDay } from '../day/index.js';
 import { hunt, MEETINGS, playMeetings, playOnce, writeDay, type MeetingFlags } from '../hunt/index.js';
 import {
   ENDED,
@@ -20,42 +20,16 @@
 import { dayPage, dayTable } from '../report/index.js';
 import { settingsFor } from '../settings.js';
 import { loopbackSeats, serveRegion } from '../real.js';
-
-/** What was asked for is not there, or makes no sense. */
-export class UsageError extends Error {}
-
-/** The days that ship with the package, as TOML by name; put in when the bundle is made. */
-declare const SHIPPED_DAYS: Readonly<Record<string, string>>;
+import { addCapacityCommand } from './capacity.js';
+import { dayArgument, loadDay } from './days.js';
+import { positiveNumber, shareOfOne, UsageError, wholeNumber } from './options.js';
+import { addScaleCommands } from './scale.js';
 
 /** Controllers of earlier releases, kept in the repository beside the bundle. */
 const releases = (): Releases =>
   new Releases(join(dirname(realpathSync(process.argv[1] ?? '.')), '..', 'packages', 'region', 'frozen'));
 
-function loadDay(given: string): Day {
-  const shipped = SHIPPED_DAYS[given];
-  if (shipped !== undefined) return readDay(shipped, `${given}.toml`);
-  let toml: string;
-  try {
-    toml = readFileSync(given, 'utf8');
-  } catch {
-    const names = Object.keys(SHIPPED_DAYS).join(', ');
-    throw new UsageError(`${given}: no such file, and no day of that name (${names})`);
-  }
-  return readDay(toml, given);
-}
-
-const whole = (text: string): number => {
-  const n = Number(text);
-  if (text.trim() === '' || !Number.isInteger(n) || n < 0 || n > 2 ** 31)
-    throw new InvalidArgumentError('a whole number from 0');
-  return n;
-};
-const positive = (text: string): number => {
-  const n = Number(text);
-  if (!(n > 0 && Number.isFinite(n))) throw new InvalidArgumentError('a number above 0');
-  return n;
-};
-const speed = (text: string): number | null => (text === 'max' ? null : positive(text));
+const speed = (text: string): number | null => (text === 'max' ? null : positiveNumber(text));
 const LEVELS = ['error', 'warn', 'info', 'debug'];
 const level = (text: string): string => {
   if (!LEVELS.includes(text)) throw new InvalidArgumentError(`one of ${LEVELS.join(', ')}`);
@@ -64,6 +38,7 @@
 
 interface PlayFlags {
   readonly seed?: number;
+  readonly share: number;
   readonly speed: number | null;
   readonly out?: string;
   readonly log?: string;
@@ -86,7 +61,7 @@
 }
 
 async function play(given: string, flags: PlayFlags): Promise<void> {
-  const day = loadDay(given);
+  const day = scaledDay(loadDay(given), flags.share);
   const events: string[] = [];
   const logs: string[] = [];
   const region = new Region({
@@ -205,16 +180,12 @@
   'whole days in simulated time: wooddrift among models of all else',
 );
 
-const dayArgument = [
-  '<day>',
-  `a day's file (TOML), or one that ships: ${Object.keys(SHIPPED_DAYS).join(', ')}`,
-] as const;
-
 regionCommand
   .command('play')
   .description('play a day in simulated time and say how it went')
   .argument(...dayArgument)
-  .option('--seed <n>', "instead of the day's own", whole)
+  .option('--seed <n>', "instead of the day's own", wholeNumber)
+  .option('--share <part>', 'machines, arrivals, limits and counted troubles at this part of their size', shareOfOne, 1)
   .addOption(
     new Option('--speed <times>', 'simulated seconds a second; max: as fast as it goes')
       .argParser(speed)
@@ -230,8 +201,8 @@
   .command('serve')
   .description("serve a day's models on loopback in real time, for controllers that you start yourself; no troubles")
   .argument(...dayArgument)
-  .option('--seed <n>', "instead of the day's own", whole)
-  .option('--base-port <n>', 'first port of the controllers', whole, 18_080)
+  .option('--seed <n>', "instead of the day's own", wholeNumber)
+  .option('--base-port <n>', 'first port of the controllers', wholeNumber, 18_080)
   .option('--out <dir>', 'where the settings files go', 'region-settings')
   .option('--users', "the day's users come, too")
   .action((day: string, flags: { seed?: number; basePort: number; out: string; users?: true }) => serve(day, flags));
@@ -240,8 +211,8 @@
   .command('hunt')
   .description('play drawn schedules of troubles until a rule breaks, and shrink what breaks it to a short day')
   .argument(...dayArgument)
-  .option('--minutes <n>', 'for how long', positive, 5)
-  .option('--seed <n>', 'of the first schedule', whole, 1)
+  .option('--minutes <n>', 'for how long', positiveNumber, 5)
+  .option('--seed <n>', 'of the first schedule', wholeNumber, 1)
   .option('--out <dir>', 'where the shrunk day goes', 'region-found')
   .option('--mixed <release>', 'controllers of that earlier release and of this one, replaced by one another')
   .action((day: string, flags: HuntFlags) => huntFor(day, flags));
@@ -250,8 +221,8 @@
   .command('meetings')
   .description('play drawn pairs of meetings of troubles, and go on where an earlier run stopped')
   .argument(...dayArgument)
-  .option('--from <n>', 'the first seed', whole, 1)
-  .option('--count <n>', 'how many seeds from there on', whole, 100)
+  .option('--from <n>', 'the first seed', wholeNumber, 1)
+  .option('--count <n>', 'how many seeds from there on', wholeNumber, 100)
   .option('--as <release>', 'all controllers are of that release', 'this')
   .option('--list <file>', 'what was played, a line each; those in it are not played again', 'meetings.jsonl')
   .addHelpText('after', `\nThey meet two at a time:\n${Object.keys(MEETINGS).join('\n')}`)
@@ -288,8 +259,8 @@
 measure
   .command('speed')
   .description('how fast a fleet plays, and in how much memory')
-  .option('--machines <n>', 'how many', whole, 900)
-  .option('--seconds <n>', 'of simulated time', whole, 120)
+  .option('--machines <n>', 'how many', wholeNumber, 900)
+  .option('--seconds <n>', 'of simulated time', wholeNumber, 120)
   .action(async ({ machines, seconds }: MeasureFlags) => {
     const speed = await measureSpeed(
       machines,
@@ -302,10 +273,10 @@
 measure
   .command('recovery')
   .description('how long it takes from the end of controllers to the last report answered and the first start')
-  .option('--machines <n>', 'how many', whole, 900)
-  .option('--seed <n>', 'of the day', whole, 1)
-  .option('--rps <n>', "the state service's requests a second", positive, 200)
-  .option('--write-rps <n>', 'and changes a second', positive, 40)
+  .option('--machines <n>', 'how many', wholeNumber, 900)
+  .option('--seed <n>', 'of the day', wholeNumber, 1)
+  .option('--rps <n>', "the state service's requests a second", positiveNumber, 200)
+  .option('--write-rps <n>', 'and changes a second', positiveNumber, 40)
   .action(async ({ machines, seed, rps, writeRps }: MeasureFlags) => {
     for (const ended of ENDED)
       process.stdout.write(`${JSON.stringify(await measureRecovery({ machines, ended, seed, rps, writeRps }))}\n`);
@@ -313,8 +284,8 @@
 measure
   .command('rollout')
   .description('what it costs to replace the controllers of a loaded fleet one after the other, by kill and by leave')
-  .option('--machines <n>', 'how many', whole, 900)
-  .option('--seed <n>', 'of the day', whole, 1)
+  .option('--machines <n>', 'how many', wholeNumber, 900)
+  .option('--seed <n>', 'of the day', wholeNumber, 1)
   .option('--old <release>', 'the earlier release that this one is mixed with', 'before-rollout')
   .action(async ({ machines, seed, old }: MeasureFlags) => {
     const known = releases();
@@ -325,8 +296,8 @@
 measure
   .command('changes')
   .description('changes a second that storing progress takes, in one record for each shard and in one for each job')
-  .option('--machines <n>', 'how many', whole, 900)
-  .option('--seed <n>', 'of the day', whole, 1)
+  .option('--machines <n>', 'how many', wholeNumber, 900)
+  .option('--seed <n>', 'of the day', wholeNumber, 1)
   .action(async ({ machines, seed }: MeasureFlags) => {
     for (const grouped of [false, true])
       process.stdout.write(`${JSON.stringify(await measureChanges(machines, seed, grouped))}\n`);
@@ -334,8 +305,8 @@
 measure
   .command('cancels')
   .description('how long users wait until they are told that a job is cancelled, without troubles')
-  .option('--machines <n>', 'in the fleet', whole, 900)
-  .option('--seeds <n>', 'so many seeds, from 1', whole, 2)
+  .option('--machines <n>', 'in the fleet', wholeNumber, 900)
+  .option('--seeds <n>', 'so many seeds, from 1', wholeNumber, 2)
   .option('--as <release>', 'all controllers are of that release', 'this')
   .action(async (flags: { machines: number; seeds: number; as: string }) => {
     for (let seed = 1; seed <= flags.seeds; seed++)
@@ -345,7 +316,7 @@
   .command('chains')
   .description('how soon the steps of chains follow each other, and what storing a day takes, by kind of record')
   .argument(...dayArgument)
-  .option('--seeds <n>', 'so many seeds, from 1', whole, 3)
+  .option('--seeds <n>', 'so many seeds, from 1', wholeNumber, 3)
   .action(async (given: string, { seeds }: { seeds: number }) => {
     const day = loadDay(given);
     for (let seed = 1; seed <= seeds; seed++)
@@ -372,3 +343,5 @@
   .action(() => {
     process.stdout.write(`${releases().names.join('\n')}\n`);
   });
+addScaleCommands(regionCommand);
+addCapacityCommand(measure);
--- a/packages/region/src/cli/index.ts
+++ b/packages/region/src/cli/index.ts
@@ -1,1 +1,2 @@
-export { regionCommand, UsageError } from './command.js';
+export { regionCommand } from './command.js';
+export { UsageError } from './options.js';
--- a/packages/region/src/day/read.ts
+++ b/packages/region/src/day/read.ts
@@ -2,7 +2,7 @@
 import { parse } from 'smol-toml';
 import * as v from 'valibot';
 import { isObject } from '../../../../src/kernel/index.js';
-import { daySchema, type Day } from './schema.js';
+import { ANY_TEAM, daySchema, type Day } from './schema.js';
 
 /** Says in one line what is wrong, with the file, the line and the field. */
 export class DayError extends Error {}
@@ -76,7 +76,7 @@
   }
   for (const [i, c] of day.classes.entries()) {
     const wrong =
-      unknown(['classes', i, 'team'], 'team', c.team, teams) ??
+      (c.team === ANY_TEAM ? null : unknown(['classes', i, 'team'], 'team', c.team, teams)) ??
       (c.zone === undefined ? null : unknown(['classes', i, 'zone'], 'zone', c.zone, zones)) ??
       c.types?.map((type, j) => unknown(['classes', i, 'types', j], 'machine type', type, types)).find((x) => x) ??
       null;
--- a/packages/region/src/day/schema.ts
+++ b/packages/region/src/day/schema.ts
@@ -28,10 +28,14 @@
   v.strictObject({ kind: v.literal('up'), within_s: positive, share }),
 ]);
 
+/** Stands for any of the day's teams. */
+export const ANY_TEAM = '*';
+
 const jobClass = v.strictObject({
   name,
   shape: v.picklist(['array', 'gang', 'service']),
-  team: name,
+  /** A team's name, or `*`: each job belongs to one of the day's teams, drawn evenly. */
+  team: v.union([name, v.literal(ANY_TEAM)], 'must be the name of a team or *'),
   priority: v.picklist(['production', 'urgent', 'standard', 'low']),
   tasks: v.union([spread, sizes], 'must be { median, p95, max } or { sizes, weights }'),
   cpus: positive,
--- a/packages/region/src/index.ts
+++ b/packages/region/src/index.ts
@@ -1,5 +1,6 @@
 export * from './checker/index.js';
 export * from './day/index.js';
+export * from './ending.js';
 export { fleetDay } from './measure/index.js';
 export * from './models/index.js';
 export * from './controller.js';
@@ -12,3 +13,4 @@
 export * from './sim/index.js';
 export type { AimResult, ClassResult, Quantiles } from './daybook.js';
 export { ListError } from './hunt/index.js';
+export { ScaleError } from './scale/index.js';
--- a/packages/region/src/models/state.ts
+++ b/packages/region/src/models/state.ts
@@ -39,6 +39,17 @@
   readonly entry: unknown;
 }
 
+/** What a request asks of the state service. */
+export type StateOperation = 'read' | 'list' | 'watch' | 'transaction' | 'lease' | 'other';
+
+function operationOf({ method, path }: Request): StateOperation {
+  if (path === '/txn') return 'transaction';
+  if (path === '/follow') return 'watch';
+  if (path.startsWith('/leases')) return 'lease';
+  if (method !== 'GET') return 'other';
+  return path === '/store' ? 'list' : 'read';
+}
+
 /** Executed without an answer, or never executed at all. */
 export type Spoiled = 'lost-answer' | 'lost-request';
 
@@ -92,6 +103,10 @@
   /** Set by tests: how a request goes wrong. */
   spoils: (request: Request) => Spoiled | null = () => null;
   readonly counts = { requests: 0, changes: 0, refused: 0 };
+  /** Requests by what they ask. */
+  readonly operations: Record<StateOperation, number> = {
+    ...{ read: 0, list: 0, watch: 0, transaction: 0, lease: 0, other: 0 },
+  };
 
   constructor(
     private readonly runtime: Runtime,
@@ -133,6 +148,13 @@
     return this.epoch;
   }
 
+  /** Keys that are stored, and the bytes of their names and values. */
+  get stored(): { readonly keys: number; readonly bytes: number } {
+    let bytes = 0;
+    for (const [key, { value }] of this.keys) bytes += key.length + JSON.stringify(value).length;
+    return { keys: this.keys.size, bytes };
+  }
+
   /** A change as a node would make it. */
   put(key: string, value: unknown): void {
     this.apply([{ key, value, lease: null }]);
@@ -156,6 +178,7 @@
 
   private async serve(request: Request): Promise<Answer> {
     this.counts.requests += 1;
+    this.operations[operationOf(request)] += 1;
     const slow = this.luck.chance(SLOW_SHARE) ? this.luck.between(20, 60) : 1;
     await this.runtime.sleep(this.facts.latencyMs * this.luck.between(0.5, 1.5) * slow * this.slowness);
     if (this.down || this.refused.has(request.from)) return TROUBLE;
--- a/packages/region/src/models/tasks.ts
+++ b/packages/region/src/models/tasks.ts
@@ -10,6 +10,8 @@
 
 /** Told what truly happens to tasks, whoever knows of it. */
 export interface TaskWatch {
+  /** A start command was accepted: its image comes next. */
+  ordered?(machine: Machine, job: JobTruth, index: number, attempt: number): void;
   /** It has its image: from now on it is on the machine. */
   entered(machine: Machine, job: JobTruth, index: number, attempt: number): void;
   running(machine: Machine, job: JobTruth, index: number, attempt: number): void;
@@ -130,6 +132,7 @@
     else if (others.some((other) => other.key === key)) this.exit(task, 'in_use');
     else if (!this.fits(job, others)) this.exit(task, 'no_room');
     else {
+      this.deps.watch.ordered?.(this.machine, job, index, attempt);
       const { bundle, pull_gb: gb } = job.spec;
       this.images.want(bundle, gb, `${key}#${attempt}`, () => this.enter(task, job));
     }
--- a/packages/region/src/models/users.ts
+++ b/packages/region/src/models/users.ts
@@ -1,5 +1,5 @@
 import type { Answer, Endpoint, Runtime } from '../../../../src/kernel/index.js';
-import type { Day, DayClass, DayPipeline } from '../day/index.js';
+import { ANY_TEAM, type Day, type DayClass, type DayPipeline } from '../day/index.js';
 import { Luck } from '../sim/index.js';
 import type { Balancer, UserSession } from './balancer.js';
 import { phaseOf, statusOf } from './answers.js';
@@ -154,7 +154,7 @@
 
   private draw(c: DayClass | undefined, more: Partial<Submission> = {}): JobTruth {
     if (!c) throw new Error('a day without classes');
-    const { luck } = this.deps;
+    const { luck, day } = this.deps;
     const ref = this.ref();
     const own = luck.fork(ref);
     const pieces =
@@ -168,7 +168,7 @@
     const spec: Submission = {
       ref,
       jobclass: c.name,
-      owner: c.team,
+      owner: c.team === ANY_TEAM ? (own.fork('team').pick(day.teams)?.name ?? '') : c.team,
       shape: SHAPES[c.shape],
       urgency: c.priority,
       pieces,
--- a/packages/region/src/models/worker.ts
+++ b/packages/region/src/models/worker.ts
@@ -87,6 +87,8 @@
   holdsCommands = false;
   /** Reports that were answered so that its lease was renewed. */
   answers = 0;
+  /** Reports that it sent, and requests to its address that it served. */
+  readonly counts = { reports: 0, commands: 0 };
   address = '';
 
   constructor(
@@ -188,6 +190,7 @@
     const sentAt = this.deps.watchdog.now();
     const { tide } = this;
     this.lastReportAt = this.deps.runtime.now();
+    this.counts.reports += 1;
     const call = { method: 'POST', path: '/v1/report', body: this.message(), timeoutMs: REPORT_TIMEOUT_MS } as const;
     const before = this.stamp;
     const { life } = this;
@@ -248,6 +251,12 @@
     });
   }
 
+  /** Its address is nobody's any more. */
+  shut(): void {
+    this.listening?.close();
+    for (const client of this.clients) client.close();
+  }
+
   private life = 0;
 
   /** The machine ends with all that runs on it and is back after so long: session and sequence begin anew. */
@@ -345,6 +354,7 @@
   }
 
   serve({ method, path, body }: Pick<Request, 'method' | 'path' | 'body'>): Answer {
+    this.counts.commands += 1;
     if (method === 'GET' && path === '/status') return { status: 200, body: this.message() };
     if (method !== 'POST' || path !== '/commands') return { status: 404, body: { error: 'no such call' } };
     const helm = isObject(body) ? asCount(body['helm']) : undefined;
--- a/packages/region/src/parts.ts
+++ b/packages/region/src/parts.ts
@@ -3,7 +3,16 @@
 import type { Day } from './day/index.js';
 import { Daybook } from './daybook.js';
 import { Balancer, CloudModel, GangBook, JobBook, StateModel, UserModel, WorkerModel } from './models/index.js';
-import type { Cause, JobTruth, Machine, ReportCopies, Script, TaskWatch, WorkerFacts } from './models/index.js';
+import type {
+  Cause,
+  JobTruth,
+  Machine,
+  ReportCopies,
+  Script,
+  TaskWatch,
+  UserView,
+  WorkerFacts,
+} from './models/index.js';
 import type { Luck } from './sim/index.js';
 
 /** Where a model runs: a simulated host, or this machine's loopback. */
@@ -34,6 +43,19 @@
   readonly seat: Seat;
 }
 
+/** Gives machines their workers somewhere else than in this process. */
+export interface WorkerHosts {
+  /** The machine is up: a worker is to report for it, and its address is to be set. */
+  up(machine: Machine): void;
+  /** The machine is gone, and its worker with it. */
+  gone(machine: Machine): void;
+}
+
+/** Told of what truly happens to tasks, and of every job that its user has uploaded. */
+export interface RegionObserver extends TaskWatch {
+  arrived(view: UserView): void;
+}
+
 export interface PartsOptions {
   readonly day: Day;
   readonly luck: Luck;
@@ -45,11 +67,16 @@
   readonly broken?: (breach: Breach) => void;
   /** Who comes and what happens to machines, instead of what the day would draw. */
   readonly script?: Script;
+  /** Workers live elsewhere; none is made here. */
+  readonly hosts?: WorkerHosts;
+  /** Told of every task's start command, start and end, and of every job, beside the checker. */
+  readonly observer?: RegionObserver;
   /** Finds the description of a job that somebody else has submitted. */
   readonly uploaded?: (ref: string, state: StateModel) => JobTruth | undefined;
 }
 
-const workerFacts = ({ workers: w }: Day): WorkerFacts => ({
+/** What a day's workers keep to. */
+export const workerFacts = ({ workers: w }: Day): WorkerFacts => ({
   ...{ reportS: w.report_s, leaseS: w.lease_s, cancelS: w.cancel_s },
   ...{ gangWaitS: w.gang_wait_s, gangPeerS: w.gang_peer_s },
 });
@@ -133,6 +160,7 @@
         const { ref, jobclass, pieces } = view.job.spec;
         options.note(`arrives ${ref} ${jobclass} ${pieces}`);
         this.daybook.arrived(view);
+        options.observer?.arrived(view);
       },
       nodes: options.controllers.map(({ serveOn }) => serveOn),
       ...(options.script ? { script: options.script.jobs } : {}),
@@ -157,7 +185,12 @@
   // ---- machines
 
   private up(machine: Machine): void {
-    const { place, luck, log, controllers, note } = this.options;
+    const { place, luck, log, controllers, note, hosts } = this.options;
+    if (hosts) {
+      note(`up ${machine.id} ${machine.type.name} ${machine.zone}`);
+      hosts.up(machine);
+      return;
+    }
     const seat = place.seat(machine.id, machine.zone);
     const model = new WorkerModel(machine, {
       runtime: seat.runtime,
@@ -186,6 +219,7 @@
   }
 
   private gone(machine: Machine): void {
+    this.options.hosts?.gone(machine);
     const held = this.workers.get(machine.id);
     if (!held) return;
     this.workers.delete(machine.id);
@@ -199,17 +233,24 @@
   entered(machine: Machine, job: JobTruth, index: number, attempt: number): void {
     this.options.note(`on ${job.spec.ref}/${index} ${attempt} ${machine.id}`);
     this.checker.entered(machine, job, index, attempt);
+    this.options.observer?.entered(machine, job, index, attempt);
+  }
+
+  ordered(machine: Machine, job: JobTruth, index: number, attempt: number): void {
+    this.options.observer?.ordered?.(machine, job, index, attempt);
   }
 
-  running(machine: Machine, job: JobTruth, index: number): void {
+  running(machine: Machine, job: JobTruth, index: number, attempt: number): void {
     this.options.note(`runs ${job.spec.ref}/${index} ${machine.id}`);
     this.daybook.running(machine, job, index);
+    this.options.observer?.running(machine, job, index, attempt);
   }
 
   left(machine: Machine, job: JobTruth, index: number, attempt: number, cause: Cause | 'killed'): void {
     this.options.note(`off ${job.spec.ref}/${index} ${attempt} ${machine.id} ${cause}`);
     this.checker.left(machine, job, index);
     this.daybook.left(machine, job, index, attempt, cause);
+    this.options.observer?.left(machine, job, index, attempt, cause);
     if (cause === 'done' && job.complete) this.users.close.completed(job);
   }
 
--- a/packages/region/src/real.ts
+++ b/packages/region/src/real.ts
@@ -1,90 +1,14 @@
-import {
-  jobId,
-  systemRuntime,
-  type Connection,
-  type Endpoint,
-  type Listening,
-  type Logger,
-  type Runtime,
-  type Timer,
-} from '../../../src/kernel/index.js';
+import { jobId, type Endpoint, type Logger } from '../../../src/kernel/index.js';
 import { decodeRecord } from '../../../src/jobs/index.js';
 import { jobKey } from '../../../src/state/index.js';
 import type { Day } from './day/index.js';
+import { EndingRuntime } from './ending.js';
 import { JobTruth, type StateModel, type Submission } from './models/index.js';
 import { RegionParts, type ControllerSeat, type Place, type Seat } from './parts.js';
 import { Luck } from './sim/index.js';
 
-const LOOPBACK = '127.0.0.1';
-
-/** The machine's own runtime, with all that it opened ended at once. */
-export class EndingRuntime implements Runtime {
-  private readonly timers = new Set<Timer>();
-  private readonly sockets = new Set<Connection>();
-  private readonly listeners = new Set<Listening>();
-  private ended = false;
-
-  readonly now = systemRuntime.now;
-  readonly wall = systemRuntime.wall;
-  readonly random = systemRuntime.random;
-  readonly uniqueId = systemRuntime.uniqueId;
-  readonly scheduler = systemRuntime.scheduler;
-
-  private keep(timer: Timer): Timer {
-    const kept = {
-      cancel: () => {
-        this.timers.delete(kept);
-        timer.cancel();
-      },
-    };
-    this.timers.add(kept);
-    return kept;
-  }
-
-  after(ms: number, work: () => void): Timer {
-    if (this.ended) return { cancel: () => undefined };
-    const kept = this.keep(
-      systemRuntime.after(ms, () => {
-        this.timers.delete(kept);
-        work();
-      }),
-    );
-    return kept;
-  }
-
-  every(ms: number, work: () => void): Timer {
-    return this.ended ? { cancel: () => undefined } : this.keep(systemRuntime.every(ms, work));
-  }
-
-  sleep(ms: number): Promise<void> {
-    return new Promise((resolve) => this.after(ms, resolve));
-  }
-
-  connect(to: Endpoint): Connection {
-    return this.keepSocket(systemRuntime.connect(to));
-  }
-
-  private keepSocket(socket: Connection): Connection {
-    this.sockets.add(socket);
-    socket.on('close', () => this.sockets.delete(socket));
-    if (this.ended) socket.destroy();
-    return socket;
-  }
-
-  listen(options: Parameters<Runtime['listen']>[0]): Listening {
-    const accept = (socket: Connection): void => options.accept(this.keepSocket(socket));
-    const listening = systemRuntime.listen({ ...options, accept });
-    this.listeners.add(listening);
-    return listening;
-  }
-
-  end(): void {
-    this.ended = true;
-    for (const timer of [...this.timers]) timer.cancel();
-    for (const listening of this.listeners) listening.close();
-    for (const socket of [...this.sockets]) socket.destroy();
-  }
-}
+/** Where everything of a real region listens. */
+export const LOOPBACK = '127.0.0.1';
 
 const SHAPES = { array: 'sweep', gang: 'ensemble', service: 'daemon' } as const;
 const URGENCIES = ['low', 'standard', 'urgent', 'production'] as const;
--- /dev/null
+++ b/packages/region/test/scale.test.ts
@@ -0,0 +1,198 @@
+import assert from 'node:assert/strict';
+import { existsSync, readFileSync } from 'node:fs';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { pino } from 'pino';
+import { scaledDay, type Day } from '../src/index.js';
+import {
+  capacityRun,
+  checkSize,
+  DIMENSIONS,
+  memoryFor,
+  OrderedEvents,
+  ScaleRun,
+  slopes,
+  UsageMeter,
+  type ScaleOptions,
+  type ScaleResult,
+} from '../src/scale/index.js';
+import { shippedDay } from './days.js';
+
+const GB = 1e9;
+const machinesOf = (day: Day): number => day.machines.reduce((sum, { count }) => sum + count, 0);
+
+test('the shipped day of the planned size has what the plan names, and a part of it has that part', () => {
+  const day = shippedDay('scale');
+  assert.equal(machinesOf(day), 1400);
+  assert.equal(day.zones.length, 9);
+  assert.equal(day.teams.length, 52);
+  const accelerators = day.machines.reduce((sum, { type, count }) => sum + (type === 'accelerated' ? 8 * count : 0), 0);
+  assert.ok(accelerators >= 1900);
+  for (const share of [0.02, 0.125, 0.25, 0.5]) {
+    const part = scaledDay(day, share);
+    assert.ok(Math.abs(machinesOf(part) - 1400 * share) <= 2, `${machinesOf(part)} at ${share}`);
+    assert.equal(part.teams.length, 52);
+    const used = new Set(part.machines.map(({ zone }) => zone));
+    assert.deepEqual([...used].sort(), [...part.zones].sort());
+    for (const { zone, type, spot, count } of part.machines) {
+      const room = part.capacity.find((entry) => entry.zone === zone && entry.type === type);
+      assert.ok(room && count <= (spot ? room.spot : room.ordinary), `${type} in ${zone}`);
+    }
+    // Its largest jobs are not beyond a team's limit: they would be refused.
+    for (const team of part.teams) assert.ok(team.gpus_max >= 64 && team.cpus_max >= 256);
+    for (const trouble of part.troubles)
+      if ('zone' in trouble && trouble.zone !== undefined) assert.ok(part.zones.includes(trouble.zone));
+  }
+  for (const dimension of DIMENSIONS) assert.equal(capacityRun(day, dimension, 1).day.troubles.length, 0);
+});
+
+test('a run that would take too many processes or more than half of the memory is refused, with the figure', () => {
+  const size = { controllers: 7, hollowProcesses: 4, workers: 1400, tasks: 16_000 };
+  checkSize(size, 24 * GB);
+  assert.throws(() => checkSize(size, 2 * GB), /about \d+ MB of memory: more than half \(1000 MB\)/);
+  assert.throws(() => checkSize({ ...size, hollowProcesses: 300 }, 1000 * GB), /308 processes: more than the 300/);
+  assert.throws(() => checkSize({ ...size, controllers: 0 }, 24 * GB), /0 controllers/);
+  assert.ok(memoryFor({ ...size, workers: 2800 }) > memoryFor(size));
+});
+
+test('model: events of several processes are released in the order of their times, each once it is old enough', () => {
+  const LAG = 50;
+  const process = fc.array(fc.nat(400), { maxLength: 30 }).map((times) => times.sort((a, b) => a - b));
+  fc.assert(
+    fc.property(fc.array(process, { minLength: 1, maxLength: 4 }), fc.nat(LAG - 1), (processes, delay) => {
+      const all = processes.flat().sort((a, b) => a - b);
+      const released: number[] = [];
+      let now = 0;
+      const events = new OrderedEvents<number>(LAG, (event, atMs) => {
+        assert.equal(event, atMs);
+        assert.ok(now - atMs >= LAG);
+        released.push(event);
+      });
+      for (; now <= 600; now++) {
+        processes.forEach((times, i) => {
+          // The first arrives at once, the others late, but within the lag.
+          for (const at of times) if (at + (i === 0 ? 0 : delay) === now) events.add(at, at);
+        });
+        events.advance(now);
+      }
+      assert.deepEqual(released, all);
+      assert.equal(events.late, 0);
+    }),
+    { seed: 11, numRuns: 60 },
+  );
+});
+
+test("processor time is added up over a process's lives, and a life that ends in between costs no error", () => {
+  let now = 0;
+  let pid = 1;
+  const cpu = new Map<number, number>([[1, 100]]);
+  const meter = new UsageMeter(
+    () => now,
+    () => [{ role: 'controller', name: 'node-0', pid }],
+    (of) => {
+      const cpuS = cpu.get(of);
+      if (cpuS === undefined) throw new Error('gone');
+      return { cpuS, residentBytes: 50e6, peakBytes: 60e6 };
+    },
+  );
+  meter.begin();
+  [now] = [1000];
+  cpu.set(1, 100.5);
+  meter.sample();
+  cpu.delete(1);
+  now = 2000;
+  meter.sample();
+  pid = 2;
+  cpu.set(2, 0.25);
+  now = 3000;
+  meter.sample();
+  const [line] = meter.results();
+  assert.ok(line);
+  assert.ok(Math.abs(line.cores - 0.25) < 1e-9, `${line.cores}`);
+  assert.ok(Math.abs(line.coresPeak - 0.5) < 1e-9);
+});
+
+test('slopes: a line is found, its prediction meets the full size, and what leaves the line shows in the residual', () => {
+  const sample = (amount: number, bent = 0) => ({ amount, figures: { cores: 0.01 + 0.002 * amount, odd: bent } });
+  const fitted = [sample(10, 1), sample(20, 5), sample(30, 1), sample(40, 5)];
+  const [cores, odd] = slopes(fitted, sample(80, 3));
+  assert.ok(cores && odd);
+  assert.ok(Math.abs(cores.slope - 0.002) < 1e-12 && Math.abs(cores.predicted - cores.measured) < 1e-9);
+  assert.ok(cores.residual < 1e-9 && cores.rSquared > 0.999);
+  assert.ok(odd.residual > 1 && odd.rSquared < 0.5);
+});
+
+const options = (day: Day, more: Partial<ScaleOptions> = {}): ScaleOptions => ({
+  day: {
+    ...day,
+    ...{ duration_s: 1000, quiet_end_s: 0, troubles: [] },
+    // Something is started in every second of so short a measurement.
+    classes: day.classes.map((c) => (c.name === 'urgent' ? { ...c, per_minute: 120 } : c)),
+    controllers: { ...day.controllers, count: 2 },
+  },
+  ...{ hollowProcesses: 2, warmupS: 6, seconds: 4, changesPerMinute: 60, changesAtOnce: 10 },
+  launch: { node: process.execPath, controllerFlags: [], script: 'target/main.cjs' },
+  log: pino({ level: 'silent' }),
+  ...{ ownPid: process.pid, machineBytes: 24 * GB },
+  ...more,
+});
+
+const alive = (pid: number): boolean => existsSync(`/proc/${pid}`);
+
+/** The processes that a run has, looked at while it runs. */
+class SeenProcesses {
+  readonly pids = new Set<number>();
+
+  look(): void {
+    for (const pid of childrenOf(process.pid)) this.pids.add(pid);
+  }
+}
+
+function childrenOf(pid: number): number[] {
+  const listed = readFileSync(`/proc/${pid}/task/${pid}/children`, 'utf8').trim();
+  return listed === '' ? [] : listed.split(' ').map(Number);
+}
+
+test('a scale run with thirty hollow workers in two processes: figures of every role, and nothing is left running', async () => {
+  const seen = new SeenProcesses();
+  const run = new ScaleRun(options(scaledDay(shippedDay('scale'), 0.02), { progress: () => seen.look() }));
+  const result: ScaleResult = await run.run();
+  assert.deepEqual(result.breaches, []);
+  assert.equal(result.workers, 28);
+  assert.ok(result.tasks.runningPeak > 20, `${result.tasks.runningPeak} running`);
+  assert.deepEqual(result.processes.map(({ role }) => role).sort(), [
+    ...['controller', 'controller', 'models', 'workers', 'workers'],
+  ]);
+  for (const { name, residentMb } of result.processes) assert.ok(residentMb > 10, `${name}: ${residentMb} MB`);
+  for (const { name, messagesPerS } of result.interfaces.slice(0, 3)) assert.ok(messagesPerS > 0, name);
+  assert.ok((result.peerFrames['hello']?.framesPerS ?? 0) > 0);
+  assert.ok(result.configuration.stored >= 10 && result.configuration.stored === result.configuration.sent);
+  assert.ok(result.configuration.inForceMs && result.configuration.inForceMs.p99 < 4000);
+  assert.equal(seen.pids.size, 4);
+  await ended([...seen.pids]);
+});
+
+test('a scale run whose controllers do not come up says so in one line, and leaves nothing running', async () => {
+  const seen = new SeenProcesses();
+  const wrong = { node: process.execPath, controllerFlags: ['--no-such-flag'], script: 'target/main.cjs' };
+  const run = new ScaleRun(
+    options(scaledDay(shippedDay('scale'), 0.02), { launch: wrong, progress: () => seen.look() }),
+  );
+  await assert.rejects(run.run(), /^ScaleError: node-\d ended at once; .*no-such-flag/);
+  await ended([...seen.pids]);
+});
+
+test('a day that real processes cannot be given is refused before anything is started, naming the field', () => {
+  const day = scaledDay(shippedDay('scale'), 0.02);
+  const refuses = (changed: Day, what: RegExp): void => {
+    assert.throws(() => new ScaleRun({ ...options(day), day: changed }), what);
+  };
+  refuses({ ...day, machines: day.machines.map((m, i) => ({ ...m, spot: i === 1 })) }, /machines\.1\.spot/);
+  refuses({ ...day, troubles: [{ kind: 'watch_forgets', at_s: 5 }] }, /troubles\.0\.kind: .*watch_forgets/);
+});
+
+async function ended(pids: readonly number[]): Promise<void> {
+  const until = Date.now() + 5000;
+  while (pids.some(alive) && Date.now() < until) await new Promise((resolve) => setTimeout(resolve, 50));
+  assert.deepEqual(pids.filter(alive), []);
+}
--- a/packages/tools/src/cli/main.ts
+++ b/packages/tools/src/cli/main.ts
@@ -1,7 +1,7 @@
 import { isMainThread } from 'node:worker_threads';
 import { Command } from 'commander';
 import { quietWhenUnread } from '../../../../src/cli/index.js';
-import { DayError, ListError, ReleaseError } from '../../../region/src/index.js';
+import { DayError, ListError, ReleaseError, ScaleError } from '../../../region/src/index.js';
 import { regionCommand, UsageError } from '../../../region/src/cli/index.js';
 import { TraceError } from '../../../trace/src/index.js';
 import { recordCommand, traceCommand } from '../../../trace/src/cli/index.js';
@@ -9,7 +9,7 @@
 import { whatifCommand } from '../../../whatif/src/cli/index.js';
 
 /** Mistakes of whoever asks: told in one line. Everything else is a defect, with its stack. */
-const KNOWN = [DayError, ListError, PlanError, ReleaseError, TraceError, UsageError];
+const KNOWN = [DayError, ListError, PlanError, ReleaseError, ScaleError, TraceError, UsageError];
 
 quietWhenUnread(process.stdout);
 const tools = new Command('wooddrift');
--- a/src/admin/api.ts
+++ b/src/admin/api.ts
@@ -22,7 +22,7 @@
 
 /** Answers with the settings as they are stored, or with why they could not be read or changed. */
 function answerSettings(res: Response, result: SettingsResult): void {
-  if (result.kind === 'stored') res.json(encodeSettings(result.settings));
+  if (result.kind === 'stored') res.json({ ...encodeSettings(result.settings), revision: result.revision });
   else if (result.kind === 'foreign') res.status(409).json(FOREIGN);
   else if (result.kind === 'too-large') res.status(413).json(TOO_LARGE);
   else res.status(503).set('Retry-After', '1').json(LATER);
@@ -66,6 +66,10 @@
     answerSettings(res, settings);
   });
 
+  router.get('/settings/in-force', (_req, res) => {
+    res.json({ revision: store.revision });
+  });
+
   router.patch('/settings/tunables', async (req, res) => {
     const parsed = parseTunables(req.body);
     if (!parsed.ok) {
--- a/src/admin/settings.ts
+++ b/src/admin/settings.ts
@@ -64,7 +64,7 @@
   };
 }
 
-export const encodeSettings = (s: OperatorSettings): unknown => ({
+export const encodeSettings = (s: OperatorSettings): Fields => ({
   ...s.rest,
   tunables: { ...s.restTunables, ...s.tunables },
   cordoned: [...s.cordoned].sort(),
--- a/src/admin/store.ts
+++ b/src/admin/store.ts
@@ -13,7 +13,8 @@
 export type SettingsChange = (settings: OperatorSettings) => OperatorSettings;
 
 export type SettingsResult =
-  | { readonly kind: 'stored'; readonly settings: OperatorSettings }
+  /** `revision`: the state service's, of the record that holds them. */
+  | { readonly kind: 'stored'; readonly settings: OperatorSettings; readonly revision: number }
   /** The stored settings are of a later release, which this one must not write over. */
   | { readonly kind: 'foreign' }
   /** With this change the record would exceed what the state service takes as one value. */
@@ -66,7 +67,7 @@
   /** The settings as they are stored now. */
   async read(): Promise<SettingsResult> {
     const stored = await this.fetch();
-    return 'settings' in stored ? { kind: 'stored', settings: stored.settings } : stored;
+    return 'settings' in stored ? { kind: 'stored', settings: stored.settings, revision: stored.version } : stored;
   }
 
   /** Stores a change; settles within `CHANGE_DEADLINE_MS` and one request's timeout. */
@@ -117,7 +118,7 @@
     const result = await this.state.txn(Urgency.accept, guards, [{ put: SETTINGS, value }]);
     if (result.kind === 'ok') {
       this.mirror.apply({ key: SETTINGS, value, removed: false, version: result.revision });
-      for (const { resolve } of batch) resolve({ kind: 'stored', settings });
+      for (const { resolve } of batch) resolve({ kind: 'stored', settings, revision: result.revision });
       return [];
     }
     if (result.kind === 'refused' && result.tooLarge === true) return this.commitSingly(batch);
--- a/src/peers/codec.ts
+++ b/src/peers/codec.ts
@@ -5,6 +5,8 @@
  */
 export const OLDEST_VERSION = 2;
 export const VERSION = 3;
+/** Before each frame stands its length. */
+export const LENGTH_BYTES = 4;
 export const MAX_FRAME = 512 * 1024;
 const MAX_TEXT = 200 * 1024;
 const MAX_ITEMS = 20_000;
--- a/src/peers/link.ts
+++ b/src/peers/link.ts
@@ -10,7 +10,7 @@
   Runtime,
   Timer,
 } from '../kernel/index.js';
-import { FrameSplitter, OLDEST_VERSION, VERSION } from './codec.js';
+import { FrameSplitter, LENGTH_BYTES, OLDEST_VERSION, VERSION } from './codec.js';
 import {
   decodeMessage,
   encodeMessage,
@@ -19,6 +19,13 @@
   type PeerCondition,
   type PeerMessage,
 } from './messages.js';
+import { FrameCounter, type FrameCount } from './traffic.js';
+
+/** What this node has sent to its peers and received from them. */
+export interface PeerTraffic {
+  readonly sent: Readonly<Record<string, FrameCount>>;
+  readonly received: Readonly<Record<string, FrameCount>>;
+}
 
 const MAX_BUFFERED = 2 * 1024 * 1024;
 const MAX_INCOMING = 32;
@@ -65,6 +72,8 @@
   private nextAsk = 1;
   private timer: Timer | undefined;
   private skipped = 0;
+  private readonly sent = new FrameCounter();
+  private readonly got = new FrameCounter();
 
   constructor(
     private readonly self: NodeName,
@@ -109,6 +118,10 @@
     return this.skipped;
   }
 
+  get traffic(): PeerTraffic {
+    return { sent: this.sent.byKind, received: this.got.byKind };
+  }
+
   /** All peers that were heard lately. */
   views(): PeerView[] {
     return this.peers.flatMap((peer) => {
@@ -171,6 +184,7 @@
   private write(peer: Outgoing, message: PeerMessage, frame = this.encode(message, peer.version)): boolean {
     if (!frame || !this.canWrite(peer)) return false;
     peer.socket?.write(frame);
+    this.sent.note(message.kind, frame.length);
     return true;
   }
 
@@ -227,6 +241,7 @@
               this.log.info({ from: name, version: frame[0], kind: frame[1] }, 'a frame of a later release is skipped');
             continue;
           }
+          this.got.note(message.kind, frame.length + LENGTH_BYTES);
           if (message.kind === 'hello') name = message.node;
           take(message);
         }
--- a/src/service/service.ts
+++ b/src/service/service.ts
@@ -38,12 +38,12 @@
   Switches,
 } from '../rollout/index.js';
 import { JOBS, LIVE, Mirror, PAGES, PROGRESS, SHARDS, StateClient, TYPES, type Change } from '../state/index.js';
-import { encodeRedirect, probeWorkers, Reach, type WorkerMessage } from '../workers/index.js';
+import { encodeRedirect, WorkerReachability, type WorkerMessage } from '../workers/index.js';
 import { createApp, laneRoutes, listen, type Handlers, type Listener } from './http.js';
 import { Trail } from '../trail/index.js';
 import { Forms } from './forms.js';
 import { Health } from './health.js';
-import { someAddresses } from './reaching.js';
+import { checkReachability } from './reachability.js';
 import { ShardRoutes } from './routes.js';
 import { TypeBook } from './types.js';
 import { rolloutDesk } from './overview.js';
@@ -62,8 +62,6 @@
   rollout: ROLLOUT_FORMAT,
 };
 const SUMMARY_EVERY_MS = 800;
-/** While this node is cut off from the workers, it asks some again after so long. */
-const PROBE_AGAIN_MS = 800;
 const CARRY_EVERY_MS = 500;
 const REST_FACTOR = 20;
 /** Sockets for the state service, the cloud, the peers and the listeners. */
@@ -101,7 +99,7 @@
   private readonly ownShard: ShardName;
   private readonly types: TypeBook;
   private readonly forms: Forms;
-  private readonly reach: Reach;
+  private readonly reachability: WorkerReachability;
   private readonly health = new Health();
   private readonly sockets: SocketBudget;
   private readonly rounds: ReconcileLoop;
@@ -118,7 +116,7 @@
   ) {
     this.trail = options.trailEvents === undefined ? null : new Trail(options.trailEvents, runtime);
     this.incarnation = incarnation(runtime.uniqueId());
-    this.reach = new Reach(runtime.now());
+    this.reachability = new WorkerReachability(runtime.now());
     this.sockets = new SocketBudget(outgoing(settings.maxConnections));
     this.ownShard = shardName(settings.node);
     this.state = new StateClient(settings.state, settings.stateLimits, log, runtime);
@@ -137,7 +135,7 @@
       settings.peerOn,
       settings.seeds,
       () => ({
-        ...{ stateOk: this.state.available && this.mirror.loaded, fit: this.reach.ok },
+        ...{ stateOk: this.state.available && this.mirror.loaded, fit: this.reachability.ok },
         ...{ leaving: this.tenure.leaving, release: RELEASE, features: FEATURE_NAMES },
         limitsFallen: this.state.limits.fallen,
       }),
@@ -149,7 +147,7 @@
       ...{ self: settings.node, incarnation: this.incarnation, own: this.ownShard, state: this.state },
       ...{ mirror: this.mirror, peers: this.peers, directory: this.directory, runtime, log, trail: this.trail },
       membership: () => this.membership,
-      reaches: () => this.reach.ok,
+      reaches: () => this.reachability.ok,
       make: (shard, version, value) => this.makeHolder(shard, version, value),
       dropped: (shard) => this.routes.forget(shard),
       form: () => this.forms.blocks,
@@ -165,7 +163,7 @@
         held: () => [...this.tenure.holders.keys()],
         verify: () => this.tenure.verify(),
         mayClaim: () =>
-          this.tenure.mayTake && (this.reach.ok || !this.peers.names.some((peer) => this.tenure.isFit(peer))),
+          this.tenure.mayTake && (this.reachability.ok || !this.peers.names.some((peer) => this.tenure.isFit(peer))),
         mayLead: () => this.tenure.mayTake,
         paged: () => this.forms.blocks === 'pages',
         announcement: () =>
@@ -314,7 +312,13 @@
     const summaries = new ReconcileLoop('summaries', SUMMARY_EVERY_MS, runtime, log, () => this.publish());
     const types = new ReconcileLoop('types', 500, runtime, log, () => this.types.learn());
     const carry = new ReconcileLoop('carry', CARRY_EVERY_MS, runtime, log, () => this.carrier.round());
-    const reach = new ReconcileLoop('reach', 200, runtime, log, () => this.checkReach());
+    const reachability = {
+      ...{ reachability: this.reachability, runtime, log, reportMs: settings.workers.reportMs },
+      blocks: () => this.directory.all,
+      held: () => this.tenure.holders,
+      changed: () => this.peers.greet(),
+    };
+    const reach = new ReconcileLoop('reachability', 200, runtime, log, () => checkReachability(reachability));
     this.loops.push(session, claims, carry, reach, types, summaries, this.leaderRounds, this.rounds);
     for (const loop of this.loops) loop.start();
     session.nudge();
@@ -389,33 +393,15 @@
       leftoverMs: leftoverForMs(this.bound),
       grouped: () => this.switches.on(GROUPED_PROGRESS),
       nudge: () => this.rounds.nudge(),
-      heard: () => this.reach.heard(),
+      heard: () => this.reachability.heard(),
       roomElsewhere: (from, spec, count) => this.routes.elsewhere(from, spec, count),
     };
   }
 
-  /** One round: are the workers within reach? */
-  private async checkReach(): Promise<void> {
-    let machines = 0;
-    for (const holder of this.tenure.holders.values()) machines += holder.machines.size;
-    const { reportMs } = this.settings.workers;
-    if (this.reach.look(this.runtime.now(), machines, reportMs) === 'nothing') return;
-    const addresses = someAddresses(this.directory.all, this.tenure.holders, this.runtime);
-    const answered = await probeWorkers(addresses, this.runtime);
-    if (this.reach.probed(addresses.length, answered)) {
-      this.log.info(
-        { reachable: this.reach.ok, asked: addresses.length, answered },
-        this.reach.ok ? 'this node reaches the workers again' : 'this node is cut off from the workers',
-      );
-      this.peers.greet();
-    }
-    if (!this.reach.ok) await this.runtime.sleep(PROBE_AGAIN_MS);
-  }
-
   // ---- workers
 
   private onReport(message: WorkerMessage): ReportReply {
-    this.reach.heard();
+    this.reachability.heard();
     for (const holder of this.tenure.holders.values()) {
       if (holder.machines.has(message.machine)) return holder.onReport(message);
     }
@@ -494,7 +480,7 @@
       settingsRevision: this.settingsStore.revision,
       stateLimits: { fallen: this.state.limits.fallen, writeRps: this.state.limits.writeRps },
       pipelines: this.steward.counts,
-      ...{ cancellations: this.carrier.status, heldBack: this.tenure.heldBack },
+      ...{ cancellations: this.carrier.status, heldBack: this.tenure.heldBack, peers: this.peers.traffic },
       shards: [...this.tenure.holders.values()].map((holder) => holder.summary()),
     };
   }
--- a/src/workers/index.ts
+++ b/src/workers/index.ts
@@ -1,7 +1,7 @@
 export * from './belief.js';
 export * from './courier.js';
 export * from './prober.js';
-export * from './reach.js';
+export * from './reachability.js';
 export * from './whereabouts.js';
 export {
   decodeMessage,
--- a/src/workers/reach.ts
+++ b/src/workers/reachability.ts
@@ -10,7 +10,7 @@
 /** Successful rounds of probes before it takes itself for reachable again. */
 const ROUNDS_BACK = 2;
 
-export type ReachNeed = 'nothing' | 'probe';
+export type ProbeNeed = 'nothing' | 'probe';
 
 /**
  * Does this node reach the workers? One silent machine is the machine's trouble; when all are silent
@@ -18,7 +18,7 @@
  * is ours. Counted is time spent listening, so that a process that was stopped for a minute does
  * not blame the network. Pure: told what happens, with the time.
  */
-export class Reach {
+export class WorkerReachability {
   private quietMs = 0;
   private lookedAt: Millis;
   private cutOff = false;
@@ -38,7 +38,7 @@
   }
 
   /** Looked at every now and then: is it time to ask some workers? */
-  look(now: Millis, machines: number, reportMs: number): ReachNeed {
+  look(now: Millis, machines: number, reportMs: number): ProbeNeed {
     this.quietMs += Math.min(MOST_A_LOOK_MS, now - this.lookedAt);
     this.lookedAt = millis(now);
     if (this.cutOff) return 'probe';
--- a/test/reach.test.ts
+++ b/test/reachability.test.ts
@@ -1,10 +1,10 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { millis } from '../src/kernel/index.js';
-import { Reach } from '../src/workers/index.js';
+import { WorkerReachability } from '../src/workers/index.js';
 
 /** Looks every 200 ms until a probe is wanted; tells after how long. */
-function silenceUntilProbe(reach: Reach, machines: number, reportMs: number, from = 0): number {
+function silenceUntilProbe(reach: WorkerReachability, machines: number, reportMs: number, from = 0): number {
   for (let now = from; now <= from + 60_000; now += 200) {
     if (reach.look(millis(now), machines, reportMs) === 'probe') return now - from;
   }
@@ -12,15 +12,15 @@
 }
 
 test('a node asks its workers after a silence in which a dozen should have reported', () => {
-  assert.equal(silenceUntilProbe(new Reach(millis(0)), 320, 4000), 1000);
-  assert.equal(silenceUntilProbe(new Reach(millis(0)), 10, 3000), 3800);
+  assert.equal(silenceUntilProbe(new WorkerReachability(millis(0)), 320, 4000), 1000);
+  assert.equal(silenceUntilProbe(new WorkerReachability(millis(0)), 10, 3000), 3800);
   // With few machines it must still find out before their leases end.
-  assert.equal(silenceUntilProbe(new Reach(millis(0)), 2, 1000), 4200);
-  assert.equal(silenceUntilProbe(new Reach(millis(0)), 1, 1000), Infinity);
+  assert.equal(silenceUntilProbe(new WorkerReachability(millis(0)), 2, 1000), 4200);
+  assert.equal(silenceUntilProbe(new WorkerReachability(millis(0)), 1, 1000), Infinity);
 });
 
 test('a node is cut off only when nearly all that it asks are silent, and back when most answer twice', () => {
-  const reach = new Reach(millis(0));
+  const reach = new WorkerReachability(millis(0));
   silenceUntilProbe(reach, 100, 1000);
   assert.equal(reach.probed(5, 2), false);
   assert.ok(reach.ok);
@@ -40,7 +40,7 @@
 });
 
 test('a process that was stopped for a minute does not blame the network', () => {
-  const reach = new Reach(millis(0));
+  const reach = new WorkerReachability(millis(0));
   reach.look(millis(200), 100, 1000);
   assert.equal(reach.look(millis(60_200), 100, 1000), 'nothing');
   reach.heard();
