--- a/packages/region/src/scale/faults.ts
+++ b/packages/region/src/scale/faults.ts
@@ -1,8 +1,8 @@
 import { isObject, type Runtime } from '../../../../src/kernel/index.js';
 import type { Day, Trouble } from '../day/index.js';
-import type { Machine } from '../models/index.js';
 import type { RegionParts } from '../parts.js';
 import type { Luck } from '../sim/index.js';
+import { chooseMachines } from '../troubles.js';
 import type { ControllerProcesses } from './controllers.js';
 import { ScaleError } from './errors.js';
 import type { HollowFleet } from './fleet.js';
@@ -39,14 +39,6 @@
   readonly luck: Luck;
 }
 
-function drawn(
-  { parts, luck }: FaultTargets,
-  { count, share, zone }: { count?: number | undefined; share?: number | undefined; zone?: string | undefined },
-): Machine[] {
-  const up = parts.cloud.up.filter((machine) => zone === undefined || machine.zone === zone);
-  return luck.some(up, count ?? Math.round(up.length * (share ?? 0)));
-}
-
 function controllersOf({ parts, controllers }: FaultTargets, which: number | 'leader' | 'all'): string[] {
   const names = controllers.seats.map(({ name }) => name);
   if (which === 'all') return names;
@@ -57,14 +49,14 @@
 
 /** Lets a trouble begin, and plans its end. A zone that is cut loses its workers; its controllers stay in reach. */
 export function playFault(trouble: Trouble, targets: FaultTargets): void {
-  const { day, parts, fleet, controllers, runtime } = targets;
+  const { day, parts, fleet, controllers, runtime, luck } = targets;
   const after = (seconds: number, work: () => void): void => void runtime.after(seconds * 1000, work);
   switch (trouble.kind) {
     case 'machines_restart':
-      for (const { id } of drawn(targets, trouble)) fleet.fault(id, 'restart', trouble.down_s);
+      for (const { id } of chooseMachines(parts.cloud.up, luck, trouble)) fleet.fault(id, 'restart', trouble.down_s);
       break;
     case 'machines_die':
-      for (const machine of drawn(targets, trouble)) parts.cloud.die(machine);
+      for (const machine of chooseMachines(parts.cloud.up, luck, trouble)) parts.cloud.die(machine);
       break;
     case 'zone_cut': {
       const cut = parts.cloud.up.filter(({ zone }) => zone === trouble.zone);
--- a/packages/region/src/troubles.ts
+++ b/packages/region/src/troubles.ts
@@ -109,12 +109,15 @@
   readonly zone?: string | undefined;
 }
 
-/** Machines that are up, drawn by count or share. */
-function drawn(region: Troubled, { count, share, zone }: Drawn): Machine[] {
-  const up = region.parts.cloud.up.filter((machine) => zone === undefined || machine.zone === zone);
-  return region.luck.fork(`drawn ${region.world.now}`).some(up, count ?? Math.round(up.length * (share ?? 0)));
+/** Machines of those that are up, drawn by count or share, of one zone where that is named. */
+export function chooseMachines(all: readonly Machine[], luck: Luck, { count, share, zone }: Drawn): Machine[] {
+  const up = all.filter((machine) => zone === undefined || machine.zone === zone);
+  return luck.some(up, count ?? Math.round(up.length * (share ?? 0)));
 }
 
+const drawn = (region: Troubled, which: Drawn): Machine[] =>
+  chooseMachines(region.parts.cloud.up, region.luck.fork(`drawn ${region.world.now}`), which);
+
 function controllersOf(region: Troubled, which: number | 'leader' | 'all'): readonly Controller[] {
   if (which === 'all') return region.controllers;
   const one = which === 'leader' ? region.leader : region.controllers[which];
--- a/packages/region/test/rules.test.ts
+++ b/packages/region/test/rules.test.ts
@@ -3,7 +3,7 @@
 import { JobRegistry } from '../../../src/jobs/index.js';
 import { Freshness } from '../../../src/state/index.js';
 import { Steward } from '../../../src/pipelines/index.js';
-import { Courier, MachineBelief, type Verdict } from '../../../src/workers/index.js';
+import { CommandSender, MachineBelief, type Verdict } from '../../../src/workers/index.js';
 import { Region, type Day, type Rule } from '../src/index.js';
 import { cutOffNight, played, shippedDay, shortDay, swarmDay } from './days.js';
 
@@ -170,12 +170,12 @@
 });
 
 test('left_waiting: jobs wait, machines have room, and nobody puts them there', async () => {
-  const never: Courier['send'] = () => Promise.resolve();
-  const rules = await patched(Courier.prototype, 'send', never, () => broken(shortDay(130, []), nothing));
+  const never: CommandSender['send'] = () => Promise.resolve();
+  const rules = await patched(CommandSender.prototype, 'send', never, () => broken(shortDay(130, []), nothing));
   assert.ok(rules.includes('left_waiting'), rules.join());
   // Not while troubles are on, for then there may be a reason.
   const troubled = shortDay(130, [{ kind: 'state_slow', at_s: 60, for_s: 60, times: 2 }]);
-  const meanwhile = await patched(Courier.prototype, 'send', never, () => broken(troubled, nothing));
+  const meanwhile = await patched(CommandSender.prototype, 'send', never, () => broken(troubled, nothing));
   assert.ok(!meanwhile.includes('left_waiting'), meanwhile.join());
 });
 
@@ -189,8 +189,8 @@
 });
 
 test('nothing_ran: commands that are never sent', async () => {
-  const never: Courier['send'] = () => Promise.resolve();
-  const rules = await patched(Courier.prototype, 'send', never, () => broken(shortDay(60, []), nothing));
+  const never: CommandSender['send'] = () => Promise.resolve();
+  const rules = await patched(CommandSender.prototype, 'send', never, () => broken(shortDay(60, []), nothing));
   assert.deepEqual(rules, ['nothing_ran']);
 });
 
@@ -238,9 +238,9 @@
 });
 
 test('a day fails when a class, a team or the largest jobs are not served, and begins to say so at half', async () => {
-  const never: Courier['send'] = () => Promise.resolve();
+  const never: CommandSender['send'] = () => Promise.resolve();
   const day = { ...shortDay(420, []), quiet_end_s: 0 };
-  const { failures } = await patched(Courier.prototype, 'send', never, () => played(day));
+  const { failures } = await patched(CommandSender.prototype, 'send', never, () => played(day));
   for (const name of ['class letters', 'largest of letters', 'class maps', 'team mail', 'team atlas'])
     assert.ok(
       failures.some((failure) => failure.startsWith(`${name}: 0 %`)),
--- a/src/holder/held.ts
+++ b/src/holder/held.ts
@@ -14,7 +14,7 @@
 } from '../kernel/index.js';
 import type { PreviousHolder, ShardValue } from '../membership/index.js';
 import { jobKey, JOBS, progressKey, shardKey, type Change } from '../state/index.js';
-import { Whereabouts, encodeRedirect, encodeReply, type ListedTask, type WorkerMessage } from '../workers/index.js';
+import { TaskIndex, encodeRedirect, encodeReply, type ListedTask, type WorkerMessage } from '../workers/index.js';
 import { bookingOf, type Booking } from './booking.js';
 import { takeExit } from './exits.js';
 import { forgets } from './forgetting.js';
@@ -35,7 +35,7 @@
   readonly machines = new Map<MachineId, HeldMachine>();
   readonly jobs = new Map<JobId, JobRun>();
   /** Found by what is asked, not by a walk: a block holds hundreds of machines and thousands of tasks. */
-  readonly whereabouts = new Whereabouts();
+  readonly taskIndex = new TaskIndex();
   /** Jobs that are over while something of theirs may be on a machine. */
   readonly endedRuns = new Set<JobRun>();
   /** Jobs of this shard whose records only a later release reads: what runs of them goes on, nothing of them starts. */
@@ -102,7 +102,7 @@
 
   drop(): void {
     this.dropped = true;
-    for (const machine of this.machines.values()) machine.courier.close();
+    for (const machine of this.machines.values()) machine.commandSender.close();
   }
 
   onShard(value: ShardValue, version: Revision): void {
@@ -120,7 +120,7 @@
         version > this.claimedAt ? version : this.claimedAt,
         this.deps.runtime,
         this.deps.log,
-        this.whereabouts,
+        this.taskIndex,
         {
           heard: () => {
             this.deps.heard();
@@ -141,7 +141,7 @@
       machine.belief.expire();
       this.releaseAll(machine, 'machine gone');
       this.unfence(id);
-      machine.courier.close();
+      machine.commandSender.close();
       this.toStop.delete(machine);
       this.machines.delete(id);
     }
@@ -196,7 +196,7 @@
     const { spec, submittedAt } = record;
     this.deps.trail?.note({ kind: 'job', job: id, spec, submittedAt, shard: this.shard });
     // Tasks of it may be listed already: this is a takeover, or the watch was late.
-    for (const name of this.whereabouts.machinesOfJob(id)) {
+    for (const name of this.taskIndex.machinesOfJob(id)) {
       const machine = this.machines.get(name);
       if (!machine) continue;
       this.sync(machine);
@@ -231,7 +231,7 @@
   }
 
   private stopAll(id: JobId): void {
-    for (const name of this.whereabouts.machinesOfJob(id)) {
+    for (const name of this.taskIndex.machinesOfJob(id)) {
       const machine = this.machines.get(name);
       if (!machine) continue;
       this.toStop.add(machine);
@@ -285,7 +285,7 @@
       this.superseded(machine);
       return { status: 421, body: encodeRedirect(null) };
     }
-    machine.courier.setAddress(message.address);
+    machine.commandSender.setAddress(message.address);
     if (verdict === 'taken') {
       const noticed = (message.noticeS === null) !== (machine.noticeUntil === null);
       machine.noticeUntil = message.noticeS === null ? null : millis(now + message.noticeS * 1000);
--- a/src/holder/holder.ts
+++ b/src/holder/holder.ts
@@ -126,7 +126,7 @@
   private prune(): void {
     for (const run of this.endedRuns) {
       for (const active of run.active.values()) this.stop(run, active, 'cancelled');
-      if (run.active.size > 0 || this.whereabouts.names(run.id)) continue;
+      if (run.active.size > 0 || this.taskIndex.names(run.id)) continue;
       this.endedRuns.delete(run);
       if (this.jobs.get(run.id) === run) this.jobs.delete(run.id);
     }
@@ -153,10 +153,10 @@
   }
 
   private deliver(machine: HeldMachine, orders: Order[], now: Millis): void {
-    const { belief, courier } = machine;
+    const { belief, commandSender } = machine;
     const silent = now - belief.lastHeardAt > 1.4 * this.deps.settings.workers.reportMs;
     if (orders.length === 0 && belief.fenced && !belief.doubted && !(silent && !machine.lost)) return;
-    if (!courier.ready()) return;
+    if (!commandSender.ready()) return;
     for (const order of orders) {
       if (order.op === 'start') belief.noteStart(order.key, order.attempt);
       else machine.stopSentAt.set(order.key, now);
@@ -168,7 +168,7 @@
       return gpus <= 0 || !spec || usesAccelerators(spec);
     };
     if (orders.some(startsUse)) machine.emptySince = now;
-    void courier.send(orders);
+    void commandSender.send(orders);
   }
 
   /**
@@ -179,7 +179,7 @@
     const heldMs = now - this.since;
     if (heldMs > this.deps.settings.workers.leaseMs + 2000) return true;
     const few = this.claimFence.size * FEW_SILENT < this.machines.size;
-    return few && machine.courier.failures >= SILENT_TRIES && heldMs > SILENT_FOR_MS;
+    return few && machine.commandSender.failures >= SILENT_TRIES && heldMs > SILENT_FOR_MS;
   }
 
   /** Tasks of jobs that nobody knows any more, which keep teams with a limit from starting anything. */
@@ -219,7 +219,7 @@
       const unknown = this.claimFence.has(machine.id) && this.givenUpOn(machine, now);
       // Silent for reports and for commands while others of the block are heard: not our own network.
       const dead =
-        machine.courier.failures >= 2 && silentMs > 2 * reportMs + 1500 && heardLately * 2 > this.machines.size;
+        machine.commandSender.failures >= 2 && silentMs > 2 * reportMs + 1500 && heardLately * 2 > this.machines.size;
       // It answers commands and reaches no controller, while others of the block do: no lease of its lasts.
       const unreportedMs = now - machine.belief.lastReportAt;
       const answers = silentMs < 2.5 * reportMs;
--- a/src/holder/machine.ts
+++ b/src/holder/machine.ts
@@ -1,7 +1,7 @@
 import type { JobId, Logger, MachineId, Millis, Revision, Runtime, SocketBudget, TaskKey } from '../kernel/index.js';
 import type { BlockMachine } from '../membership/index.js';
 import type { MachineView } from '../placement/index.js';
-import { Courier, MachineBelief, type CourierHooks, type Mentions } from '../workers/index.js';
+import { CommandSender, MachineBelief, type CommandSenderHooks, type Mentions } from '../workers/index.js';
 import type { Booking } from './booking.js';
 import type { ActiveTask, JobRun } from './run.js';
 
@@ -15,7 +15,7 @@
 /** One machine of the block, as its holder sees it. */
 export class HeldMachine {
   readonly belief: MachineBelief;
-  readonly courier: Courier;
+  readonly commandSender: CommandSender;
   /** The tasks that this holder has put here or found here. */
   readonly active = new Map<TaskKey, { readonly run: JobRun; readonly task: ActiveTask }>();
   /** What is booked here, as of the last change; see `booking.ts`. */
@@ -48,13 +48,13 @@
     runtime: Runtime,
     log: Logger,
     mentions: Mentions,
-    hooks: CourierHooks,
+    hooks: CommandSenderHooks,
     sockets: SocketBudget,
   ) {
     const now = runtime.now();
     this.belief = new MachineBelief(base, now, { mentions, machine: info.id });
-    this.courier = new Courier(info.id, this.belief, runtime, log, hooks, sockets);
-    this.courier.setAddress(info.address);
+    this.commandSender = new CommandSender(info.id, this.belief, runtime, log, hooks, sockets);
+    this.commandSender.setAddress(info.address);
     this.coolUntil = now;
     this.emptySince = now;
   }
--- a/src/holder/moves.ts
+++ b/src/holder/moves.ts
@@ -33,7 +33,7 @@
   /** A job with nothing possibly there may change shards, to where it can start. */
   moveElsewhere(run: JobRun, count: number, now: Millis): void {
     if (run.active.size > 0 || run.storing || run.moving || this.held.claimFence.size > 0) return;
-    if (this.held.whereabouts.names(run.id)) return;
+    if (this.held.taskIndex.names(run.id)) return;
     // Looking costs too: every machine of the other blocks is asked.
     this.movedAt = now;
     const to = this.held.deps.roomElsewhere(this.held.shard, run.spec, count);
@@ -109,7 +109,7 @@
       }
       const { belief } = machine;
       // Only empty, with nothing possibly there, and with nothing that we still have to store.
-      if (!belief.fenced || !belief.empty || belief.tasks.size > 0 || !machine.courier.idle) continue;
+      if (!belief.fenced || !belief.empty || belief.tasks.size > 0 || !machine.commandSender.idle) continue;
       const to = leaving.to as ShardName | null;
       const list = ready.get(to);
       if (list) list.push(machine);
@@ -131,7 +131,7 @@
     // What one page names leaves at once; others follow in the next round.
     const [first] = leave(this.held.shard, own, new Set(machines.map(({ id }) => id)));
     const together = machines.filter(({ id }) => first?.ids.includes(id) === true);
-    const infos = together.map((machine) => ({ ...machine.info, address: machine.courier.knownAddress }));
+    const infos = together.map((machine) => ({ ...machine.info, address: machine.commandSender.knownAddress }));
     const { limits } = state;
     const room = { recordMost: blockLimit(limits.presentValueKb), pageBytes: limits.valueBytes };
     const entry = to !== null && target ? enter(to, target, infos, room) : null;
@@ -167,7 +167,7 @@
     if (!this.held.fenced) return false;
     const now = this.held.deps.runtime.now();
     for (const machine of this.held.machines.values()) {
-      if (!machine.belief.fenced || !machine.courier.idle || machine.belief.pendingStarts.size > 0) return false;
+      if (!machine.belief.fenced || !machine.commandSender.idle || machine.belief.pendingStarts.size > 0) return false;
       if (machine.leaving || now - machine.belief.lastHeardAt > 2 * this.held.deps.settings.workers.reportMs)
         return false;
     }
--- a/src/holder/starts.ts
+++ b/src/holder/starts.ts
@@ -56,7 +56,7 @@
   ) {}
 
   private usable(machine: HeldMachine, now: Millis): boolean {
-    return now >= machine.coolUntil && machine.courier.ready() && this.sound(machine, now);
+    return now >= machine.coolUntil && machine.commandSender.ready() && this.sound(machine, now);
   }
 
   /** May take new tasks, but for a command that is just on its way. */
@@ -69,7 +69,7 @@
       !machine.lost &&
       !machine.leaving &&
       machine.noticeUntil === null &&
-      machine.courier.failures === 0 &&
+      machine.commandSender.failures === 0 &&
       // One that answers commands and reaches no controller loses its lease, and what is started there, again and again.
       now - Math.min(belief.lastHeardAt, belief.lastReportAt) < 2.5 * this.held.deps.settings.workers.reportMs + 500 &&
       !machine.faulty(now) &&
@@ -246,7 +246,7 @@
 
   /** A task may be started only if it is possibly nowhere. */
   private possiblyAnywhere(key: TaskKey): boolean {
-    for (const id of this.held.whereabouts.machinesOf(key))
+    for (const id of this.held.taskIndex.machinesOf(key))
       if (this.held.machines.get(id)?.belief.possibly(key)) return true;
     return false;
   }
--- a/src/quota/shares.ts
+++ b/src/quota/shares.ts
@@ -1,11 +1,9 @@
 import type { TeamFacts } from '../config/index.js';
 import type { Logger, Millis, Revision, Runtime, ShardName } from '../kernel/index.js';
 import {
-  QUOTAS,
   quotaKey,
   ROLLOUT_STATE,
   shardKey,
-  teamOfQuotaKey,
   Urgency,
   type Guard,
   type Mirror,
@@ -32,7 +30,7 @@
 export interface QuotaDeps {
   readonly teams: ReadonlyMap<string, TeamFacts>;
   readonly state: Pick<StateClient, 'txn' | 'get' | 'limits' | 'writers'>;
-  readonly mirror: Pick<Mirror, 'get' | 'apply' | 'wrote' | 'under'>;
+  readonly mirror: Pick<Mirror, 'get' | 'apply' | 'wrote'>;
   readonly runtime: Pick<Runtime, 'now'>;
   readonly log: Pick<Logger, 'info' | 'warn' | 'error'>;
   mode(): QuotaMode;
@@ -173,11 +171,6 @@
     return record;
   }
 
-  /** Records that are stored, whichever release wrote them. */
-  get stored(): number {
-    return [...this.deps.mirror.under(QUOTAS)].length;
-  }
-
   /** One round: tells what the shards that are held here need, and changes shares. */
   round(): void {
     const mode = this.deps.mode();
@@ -359,11 +352,6 @@
     }
     return overview;
   }
-
-  /** Teams of the records that are stored. */
-  get sharedTeams(): string[] {
-    return [...this.deps.mirror.under(QUOTAS)].map(({ key }) => teamOfQuotaKey(key));
-  }
 }
 
 export interface QuotaOverview {
--- a/src/service/overview.ts
+++ b/src/service/overview.ts
@@ -3,7 +3,7 @@
 import type { ShardDirectory } from '../membership/index.js';
 import type { PeerLink } from '../peers/index.js';
 import { FEATURES, RELEASE, whyNotNext, type Conductor, type RolloutShard, type Switches } from '../rollout/index.js';
-import type { Tenure } from './tenure.js';
+import type { ShardOwnership } from './ownership.js';
 
 export interface OverviewDeps {
   readonly self: NodeName;
@@ -12,7 +12,7 @@
   readonly peers: PeerLink;
   readonly conductor: Conductor;
   readonly switches: Switches;
-  readonly tenure: Tenure;
+  readonly ownership: ShardOwnership;
   shards(): readonly ShardName[];
 }
 
@@ -25,11 +25,11 @@
 
 /** What operators see of a rollout: who runs what, what is on, what is waited for, and whether the next may go. */
 export function rolloutOverview(deps: OverviewDeps): unknown {
-  const { self, peers, conductor, switches, tenure } = deps;
+  const { self, peers, conductor, switches, ownership } = deps;
   const heard = new Map(peers.views().map((view) => [view.node, view]));
   const shards = shardsOf(deps);
   const leaving = [...heard.values()].filter((view) => view.leaving).map(({ node }) => node);
-  if (tenure.leaving) leaving.push(self);
+  if (ownership.leaving) leaving.push(self);
   const { nodes, watching: watched, now } = conductor;
   const why = whyNotNext({ now, nodes, shards, leaving, watched });
   return {
@@ -66,7 +66,7 @@
 
 /** What operators may ask and tell of a rollout. */
 export function rolloutDesk(deps: OverviewDeps): RolloutDesk {
-  const { conductor, tenure, switches } = deps;
+  const { conductor, ownership, switches } = deps;
   return {
     clock: deps.clock,
     features: () =>
@@ -78,10 +78,10 @@
       ),
     overview: () => rolloutOverview(deps),
     wish: (how) => conductor.wish(how),
-    leave: () => tenure.leave(),
-    stay: () => tenure.stay('an operator wants it to stay'),
+    leave: () => ownership.leave(),
+    stay: () => ownership.stay('an operator wants it to stay'),
     leaving: () => {
-      const { leaving, left, staysInMs } = tenure;
+      const { leaving, left, staysInMs } = ownership;
       return { leaving, left, staysInS: staysInMs === null ? null : Math.ceil(staysInMs / 1000) };
     },
   };
--- a/src/service/tenure.ts
+++ b/src/service/ownership.ts
@@ -29,7 +29,7 @@
 /** Whoever asked this node to leave should have ended it by then: it takes part again. */
 const LEAVING_FOR_MS = 60_000;
 
-export interface TenureDeps {
+export interface OwnershipDeps {
   readonly self: NodeName;
   readonly incarnation: Incarnation;
   readonly own: ShardName;
@@ -57,7 +57,7 @@
 export type LeaveAnswer = { readonly ok: true } | { readonly ok: false; readonly reason: string };
 
 /** Which shards this node holds: taking them up, handing them on and back, and leaving before a planned end. */
-export class Tenure {
+export class ShardOwnership {
   readonly holders = new Map<ShardName, ShardHolder>();
   private readonly ousted = new Map<ShardName, number>();
   private readonly homeSince = new Map<ShardName, Millis>();
@@ -65,7 +65,7 @@
 
   private readonly seals: Seals;
 
-  constructor(private readonly deps: TenureDeps) {
+  constructor(private readonly deps: OwnershipDeps) {
     this.seals = new Seals(deps);
   }
 
--- a/src/service/peers.ts
+++ b/src/service/peers.ts
@@ -5,7 +5,7 @@
 import type { StateClient } from '../state/index.js';
 import { demandOf } from './quota.js';
 import type { ShardRoutes } from './routes.js';
-import type { Tenure } from './tenure.js';
+import type { ShardOwnership } from './ownership.js';
 import type { UserDesk } from './users.js';
 
 export interface PeerHandlerDeps {
@@ -13,7 +13,7 @@
   readonly peers: PeerLink;
   readonly routes: ShardRoutes;
   readonly registry: JobRegistry;
-  readonly tenure: Tenure;
+  readonly ownership: ShardOwnership;
   readonly carrier: Carrier;
   readonly desk: UserDesk;
   readonly quotas: QuotaShares;
@@ -23,7 +23,7 @@
 
 /** Hands what a peer says to the part of this node that it is for. */
 export function handlePeer(deps: PeerHandlerDeps, { from, message }: Received): void {
-  const { state, peers, routes, registry, tenure, carrier, desk, quotas } = deps;
+  const { state, peers, routes, registry, ownership, carrier, desk, quotas } = deps;
   switch (message.kind) {
     case 'hello':
       if (message.limitsFallen) state.fallen();
@@ -33,7 +33,7 @@
       break;
     case 'cancelled':
       registry.heardOver(message.job);
-      for (const holder of tenure.holders.values()) holder.onOver(message.job);
+      for (const holder of ownership.holders.values()) holder.onOver(message.job);
       break;
     case 'withdrawn':
     case 'heard':
@@ -41,7 +41,7 @@
       carrier.onPeer(from, message);
       break;
     case 'transfer':
-      for (const holder of tenure.holders.values()) holder.transfer(message.machine, message.to);
+      for (const holder of ownership.holders.values()) holder.transfer(message.machine, message.to);
       break;
     case 'quota':
       quotas.hear(demandOf(message));
@@ -53,10 +53,10 @@
       });
       break;
     case 'standdown':
-      tenure.standDown(from, message.shard, message.version);
+      ownership.standDown(from, message.shard, message.version);
       break;
     case 'stooddown': {
-      const holder = tenure.holders.get(message.shard);
+      const holder = ownership.holders.get(message.shard);
       if (holder?.claimedAt === message.version) holder.proven(from);
       break;
     }
--- a/src/service/service.ts
+++ b/src/service/service.ts
@@ -63,7 +63,7 @@
 import { TypeBook } from './types.js';
 import { rolloutDesk } from './overview.js';
 import { nodeStatus } from './status.js';
-import { Tenure } from './tenure.js';
+import { ShardOwnership } from './ownership.js';
 import { trailView } from './trailview.js';
 import { UserDesk } from './users.js';
 
@@ -111,7 +111,7 @@
   private readonly desk: UserDesk;
   private readonly leader: Leader;
   private readonly directory: ShardDirectory;
-  private readonly tenure: Tenure;
+  private readonly ownership: ShardOwnership;
   private readonly steward: Steward;
   private readonly conductor: Conductor;
   private readonly switches: Switches;
@@ -158,14 +158,14 @@
       settings.seeds,
       () => ({
         ...{ stateOk: this.state.available && this.mirror.loaded, fit: this.reachability.ok },
-        ...{ leaving: this.tenure.leaving, release: RELEASE, features: FEATURE_NAMES },
+        ...{ leaving: this.ownership.leaving, release: RELEASE, features: FEATURE_NAMES },
         limitsFallen: this.state.limits.fallen,
       }),
       runtime,
       log,
     );
     this.switches = new Switches(this.mirror, new Set(FEATURE_NAMES));
-    this.tenure = new Tenure({
+    this.ownership = new ShardOwnership({
       ...{ self: settings.node, incarnation: this.incarnation, own: this.ownShard, state: this.state },
       ...{ mirror: this.mirror, peers: this.peers, directory: this.directory, runtime, log, trail: this.trail },
       membership: () => this.membership,
@@ -174,7 +174,7 @@
       dropped: (shard) => this.routes.forget(shard),
       form: () => this.forms.blocks,
       seal: () => this.forms.seal,
-      hasForeignWork: (shard) => this.tenure.holders.get(shard)?.hasForeignWork === true,
+      hasForeignWork: (shard) => this.ownership.holders.get(shard)?.hasForeignWork === true,
     });
     this.membership = new Membership(
       settings.node,
@@ -184,11 +184,12 @@
       this.mirror,
       this.directory,
       {
-        held: () => [...this.tenure.holders.keys()],
-        verify: () => this.tenure.verify(),
+        held: () => [...this.ownership.holders.keys()],
+        verify: () => this.ownership.verify(),
         mayClaim: () =>
-          this.tenure.mayTake && (this.reachability.ok || !this.peers.names.some((peer) => this.tenure.isFit(peer))),
-        mayLead: () => this.tenure.mayTake,
+          this.ownership.mayTake &&
+          (this.reachability.ok || !this.peers.names.some((peer) => this.ownership.isFit(peer))),
+        mayLead: () => this.ownership.mayTake,
         paged: () => this.forms.blocks === 'pages',
         announcement: () =>
           encodeAnnouncement({ release: RELEASE, features: FEATURE_NAMES, frames: FRAME_VERSION, records: RECORDS }),
@@ -201,17 +202,23 @@
       mode: () => this.forms.quotas,
       shards: () => this.membership.shards,
       sealed: () => this.directory.sealed,
-      holders: () => this.tenure.holders.values(),
+      holders: () => this.ownership.holders.values(),
       tell: (demand) => tellPeers(this.peers, demand),
       settle: (shard) =>
-        settleShard(shard, this.state, this.mirror, runtime, () => this.tenure.holders.get(shard)?.dropped === false),
+        settleShard(
+          shard,
+          this.state,
+          this.mirror,
+          runtime,
+          () => this.ownership.holders.get(shard)?.dropped === false,
+        ),
     });
     this.routes = new ShardRoutes({
       self: settings.node,
       clock: runtime,
       teams: settings.teams,
       quotas: this.quotas,
-      holders: this.tenure.holders,
+      holders: this.ownership.holders,
       own: this.ownShard,
       types: () => this.types.all,
     });
@@ -243,15 +250,15 @@
       others: settings.seeds.map((seed) => seed.node),
       on: () => this.switches.on(CARRIED_CANCELLATIONS),
       renewedAt: () => this.membership.heldUntilAtLeast,
-      held: () => [...this.tenure.holders].map(([shard, { claimedAt }]) => [shard, claimedAt] as const),
-      ousted: (shard, version) => this.tenure.oust(shard, version),
+      held: () => [...this.ownership.holders].map(([shard, { claimedAt }]) => [shard, claimedAt] as const),
+      ousted: (shard, version) => this.ownership.oust(shard, version),
       over: (id, final, version) => this.registry.remember(id, final, version),
     });
     this.steward = new Steward({
       ...{ registry: this.registry, mirror: this.mirror, runtime, log },
-      holds: (shard) => this.tenure.holders.has(shard),
+      holds: (shard) => this.ownership.holders.has(shard),
       ready: (id) => {
-        for (const holder of this.tenure.holders.values()) holder.onReady(id);
+        for (const holder of this.ownership.holders.values()) holder.onReady(id);
       },
       objectives: settings.objectives,
       begun: (id) => {
@@ -309,7 +316,7 @@
       runtime,
       log,
       () => {
-        for (const holder of this.tenure.holders.values()) holder.round();
+        for (const holder of this.ownership.holders.values()) holder.round();
       },
       100,
       // A report that waits for a plan is worse than a plan that waits for a report.
@@ -322,7 +329,7 @@
     this.mirror.changes.subscribe((change) => this.onChange(change));
     this.peers.received.subscribe((received) => this.onPeer(received));
     this.peers.start();
-    const { incarnation: life, membership, state, settingsStore, steward, carrier, tenure, peers } = this;
+    const { incarnation: life, membership, state, settingsStore, steward, carrier, ownership, peers } = this;
     const seen = {
       node: settings.node,
       incarnation: life,
@@ -331,7 +338,7 @@
       settingsStore,
       steward,
       carrier,
-      tenure,
+      ownership,
       peers,
     };
     const admin = adminRouter(
@@ -339,7 +346,7 @@
       { status: () => nodeStatus(seen), quotas: () => this.quotas.overview() },
       rolloutDesk({
         ...{ self: settings.node, clock: runtime, directory: this.directory, peers: this.peers },
-        ...{ conductor: this.conductor, switches: this.switches, tenure: this.tenure },
+        ...{ conductor: this.conductor, switches: this.switches, ownership: this.ownership },
         shards: () => this.membership.shards,
       }),
       this.trail &&
@@ -369,7 +376,7 @@
     const reachability = {
       ...{ reachability: this.reachability, runtime, log, reportMs: settings.workers.reportMs },
       blocks: () => this.directory.all,
-      held: () => this.tenure.holders,
+      held: () => this.ownership.holders,
       changed: () => this.peers.greet(),
     };
     const reach = new ReconcileLoop('reachability', 200, runtime, log, () => checkReachability(reachability));
@@ -382,7 +389,7 @@
   /** Ends this controller as a crash would: nothing is handed over. */
   stop(): void {
     for (const loop of this.loops) loop.stop();
-    for (const holder of this.tenure.holders.values()) holder.drop();
+    for (const holder of this.ownership.holders.values()) holder.drop();
     this.mirror.stop();
     this.peers.stop();
     this.server?.shut();
@@ -393,14 +400,14 @@
     if (!this.mirror.loaded) return;
     await this.membership.elect();
     await this.membership.claim();
-    await this.tenure.review();
+    await this.ownership.review();
     await this.conductor.round();
   }
 
   private healthy(): boolean {
     const ready = this.mirror.loaded && this.membership.registered;
     const others = this.peers.names.map((node) => this.peers.statusOf(node)?.stateOk ?? null);
-    const { mayTake } = this.tenure;
+    const { mayTake } = this.ownership;
     return this.health.look({ ready, mayTake, stateOk: this.state.available, others }, this.runtime.now());
   }
 
@@ -409,18 +416,18 @@
   private onChange(change: Change): void {
     if (change.key.startsWith(JOBS)) {
       this.steward.onJob(change);
-      for (const holder of this.tenure.holders.values()) holder.onJob(change);
-    } else if (change.key.startsWith(SHARDS)) this.tenure.onShard(change);
-    else if (change.key.startsWith(PAGES)) this.tenure.onPage(change);
+      for (const holder of this.ownership.holders.values()) holder.onJob(change);
+    } else if (change.key.startsWith(SHARDS)) this.ownership.onShard(change);
+    else if (change.key.startsWith(PAGES)) this.ownership.onPage(change);
     else if (change.key.startsWith(PROGRESS))
-      this.tenure.holders.get(shardName(change.key.slice(PROGRESS.length)))?.onProgress(change);
+      this.ownership.holders.get(shardName(change.key.slice(PROGRESS.length)))?.onProgress(change);
     else if (change.key.startsWith(QUOTAS)) this.onQuota();
     else if (change.key === TYPES) this.types.onChange(change);
   }
 
   /** Shares have changed: what waits may start, and others may give. */
   private onQuota(): void {
-    for (const holder of this.tenure.holders.values()) holder.soon();
+    for (const holder of this.ownership.holders.values()) holder.soon();
     this.quotaRounds.nudge();
   }
 
@@ -470,7 +477,7 @@
 
   private onReport(message: WorkerMessage): ReportReply {
     this.reachability.heard();
-    for (const holder of this.tenure.holders.values()) {
+    for (const holder of this.ownership.holders.values()) {
       if (holder.machines.has(message.machine)) return holder.onReport(message);
     }
     const shard = this.directory.shardOf(message.machine);
@@ -487,9 +494,9 @@
   // ---- peers
 
   private onPeer(received: Received): void {
-    const { state, peers, routes, registry, tenure, carrier, desk, quotas } = this;
+    const { state, peers, routes, registry, ownership, carrier, desk, quotas } = this;
     const nudgeQuotas = (): void => this.quotaRounds.nudge();
-    handlePeer({ state, peers, routes, registry, tenure, carrier, desk, quotas, nudgeQuotas }, received);
+    handlePeer({ state, peers, routes, registry, ownership, carrier, desk, quotas, nudgeQuotas }, received);
   }
 
   private tell(node: NodeName, message: PeerMessage): void {
@@ -499,7 +506,7 @@
 
   private publish(): void {
     this.state.writers = Math.max(1, this.membership.aliveCount);
-    for (const holder of this.tenure.holders.values()) {
+    for (const holder of this.ownership.holders.values()) {
       const summary = holder.summary();
       this.routes.note(summary);
       this.peers.broadcast({ kind: 'summary', summary });
--- a/src/service/status.ts
+++ b/src/service/status.ts
@@ -5,7 +5,7 @@
 import type { PeerLink } from '../peers/index.js';
 import type { Steward } from '../pipelines/index.js';
 import type { StateClient } from '../state/index.js';
-import type { Tenure } from './tenure.js';
+import type { ShardOwnership } from './ownership.js';
 
 export interface StatusDeps {
   readonly node: NodeName;
@@ -15,19 +15,19 @@
   readonly settingsStore: SettingsStore;
   readonly steward: Steward;
   readonly carrier: Carrier;
-  readonly tenure: Tenure;
+  readonly ownership: ShardOwnership;
   readonly peers: PeerLink;
 }
 
 /** What `admin status` shows of a node. */
 export function nodeStatus({ node, incarnation, membership, state, settingsStore, ...deps }: StatusDeps): unknown {
-  const { steward, carrier, tenure, peers } = deps;
+  const { steward, carrier, ownership, peers } = deps;
   return {
     ...{ node, incarnation, leader: membership.leader, stateAvailable: state.available },
     settingsRevision: settingsStore.revision,
     stateLimits: { fallen: state.limits.fallen, writeRps: state.limits.writeRps },
     pipelines: steward.counts,
-    ...{ cancellations: carrier.status, heldBack: tenure.heldBack, peers: peers.traffic },
-    shards: [...tenure.holders.values()].map((holder) => holder.summary()),
+    ...{ cancellations: carrier.status, heldBack: ownership.heldBack, peers: peers.traffic },
+    shards: [...ownership.holders.values()].map((holder) => holder.summary()),
   };
 }
--- a/src/state/keys.ts
+++ b/src/state/keys.ts
@@ -30,6 +30,5 @@
 export const progressKey = (name: ShardName): string => `${PROGRESS}${name}`;
 /** A team's name may have characters that keys may not. */
 export const quotaKey = (team: string): string => `${QUOTAS}${encodeURIComponent(team)}`;
-export const teamOfQuotaKey = (key: string): string => decodeURIComponent(key.slice(QUOTAS.length));
 export const nodeKey = (name: NodeName): string => `${NODES}${name}`;
 export const seenKey = (name: NodeName): string => `${SEEN}${name}`;
--- a/src/workers/belief.ts
+++ b/src/workers/belief.ts
@@ -13,7 +13,7 @@
   type TaskKey,
   type Token,
 } from '../kernel/index.js';
-import type { Mentions } from './whereabouts.js';
+import type { Mentions } from './task-index.js';
 import type { ListedTask, WorkerMessage } from './wire.js';
 
 const isAfter = (
--- a/src/workers/courier.ts
+++ b/src/workers/command-sender.ts
@@ -16,14 +16,14 @@
 const MAX_ORDERS = 200;
 const NO_SOCKET = /\b(?:EMFILE|ENFILE|EADDRNOTAVAIL|ENOBUFS)\b/;
 
-export interface CourierHooks {
+export interface CommandSenderHooks {
   /** A newer message was taken in. */
   heard(message: WorkerMessage): void;
   superseded(): void;
 }
 
 /** Direct commands to one worker: one request at a time, so that their order is plain. */
-export class Courier {
+export class CommandSender {
   private client: HttpClient | undefined;
   private busy = false;
   private address = '';
@@ -35,7 +35,7 @@
     private readonly belief: MachineBelief,
     private readonly runtime: Runtime,
     private readonly log: Logger,
-    private readonly hooks: CourierHooks,
+    private readonly hooks: CommandSenderHooks,
     private readonly sockets: SocketBudget,
   ) {}
 
--- a/src/workers/index.ts
+++ b/src/workers/index.ts
@@ -1,8 +1,8 @@
 export * from './belief.js';
-export * from './courier.js';
+export * from './command-sender.js';
 export * from './prober.js';
 export * from './reachability.js';
-export * from './whereabouts.js';
+export * from './task-index.js';
 export {
   decodeMessage,
   encodeCommands,
--- a/src/workers/whereabouts.ts
+++ b/src/workers/task-index.ts
@@ -12,7 +12,7 @@
  * Which machines of a block name a task, exited or pending ones included: asked for every start and
  * for every job that ends, so it must not be found by a walk through the block.
  */
-export class Whereabouts implements Mentions {
+export class TaskIndex implements Mentions {
   private readonly jobs = new Map<JobId, Map<TaskKey, Set<MachineId>>>();
 
   enter(key: TaskKey, machine: MachineId): void {
--- a/test/belief.test.ts
+++ b/test/belief.test.ts
@@ -96,7 +96,7 @@
     const belief = this.beliefs[packet.machine];
     assert.ok(belief);
     const starts = packet.orders.filter((o) => o.op === 'start').map((o) => o.key);
-    // As the courier does.
+    // As the commandSender does.
     const verdict = belief.takeAnswer(answer.message, packet.sent, millis(this.now));
     if (verdict === 'taken') this.lost.delete(packet.machine);
     if (verdict !== 'stale') belief.settleStarts(starts);
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -23,7 +23,7 @@
   type ShardValue,
 } from '../src/membership/index.js';
 import { Freshness, LIVE, Mirror, shardKey, StateClient } from '../src/state/index.js';
-import { MachineBelief, Whereabouts } from '../src/workers/index.js';
+import { MachineBelief, TaskIndex } from '../src/workers/index.js';
 import { Lab } from '../packages/region/test/lab.js';
 import { StandInWorker } from './standins/worker.js';
 
@@ -38,7 +38,7 @@
   ...over,
 });
 
-test('whereabouts agree with a walk through all beliefs, whatever comes in', () => {
+test('taskIndex agree with a walk through all beliefs, whatever comes in', () => {
   const KEYS = [0, 1, 2].flatMap((job) => [0, 1].map((index) => taskKey(jobId(`j-${job}`), index)));
   fc.assert(
     fc.property(
@@ -46,11 +46,11 @@
         maxLength: 60,
       }),
       (steps) => {
-        const whereabouts = new Whereabouts();
+        const taskIndex = new TaskIndex();
         const ids = [0, 1, 2].map((i) => machineId(`m${i}`));
         const workers = ids.map((id) => new StandInWorker(id));
         const beliefs = ids.map(
-          (machine) => new MachineBelief(revision(5), millis(0), { mentions: whereabouts, machine }),
+          (machine) => new MachineBelief(revision(5), millis(0), { mentions: taskIndex, machine }),
         );
         let number = 0;
         for (const [m, what, k] of steps) {
@@ -70,15 +70,15 @@
         }
         for (const key of KEYS) {
           const walked = ids.filter((_, i) => beliefs[i]?.tasks.has(key) || beliefs[i]?.pendingStarts.has(key));
-          assert.deepEqual([...whereabouts.machinesOf(key)].sort(), walked);
+          assert.deepEqual([...taskIndex.machinesOf(key)].sort(), walked);
         }
         for (const job of ['j-0', 'j-1', 'j-2'].map(jobId)) {
           const named = (key: TaskKey): boolean => key.startsWith(`${job}/`);
           const walked = ids.filter((_, i) =>
             [...(beliefs[i]?.tasks.keys() ?? []), ...(beliefs[i]?.pendingStarts.keys() ?? [])].some(named),
           );
-          assert.deepEqual([...whereabouts.machinesOfJob(job)].sort(), walked);
-          assert.equal(whereabouts.names(job), walked.length > 0);
+          assert.deepEqual([...taskIndex.machinesOfJob(job)].sort(), walked);
+          assert.equal(taskIndex.names(job), walked.length > 0);
         }
       },
     ),
--- a/test/quota.test.ts
+++ b/test/quota.test.ts
@@ -32,7 +32,6 @@
 
 const NAMES = ['a', 'b', 'c', 'd'].map(shardName);
 const LIMIT: Amount = { cpus: 100, gpus: 16 };
-const EPSILON = 1e-6;
 
 const amount = (most: Amount) =>
   fc.record({ cpus: fc.integer({ min: 0, max: most.cpus }), gpus: fc.integer({ min: 0, max: most.gpus }) });
@@ -286,5 +285,4 @@
   assert.deepEqual(roomless.unplaced, [{ job: 'j-1', count: 4 }]);
   // Nothing is left of the whole limit: no room is asked for.
   assert.deepEqual(plan(12, { wholeLeft: { cpus: 0, gpus: Infinity } }).unplaced, []);
-  assert.ok(EPSILON > 0);
 });
--- a/test/sockets.test.ts
+++ b/test/sockets.test.ts
@@ -4,7 +4,7 @@
 import { Lab } from '../packages/region/test/lab.js';
 import { HttpClient, machineId, millis, revision, SocketBudget } from '../src/kernel/index.js';
 import { createApp, laneRoutes, listen, type Handlers } from '../src/service/index.js';
-import { Courier, MachineBelief } from '../src/workers/index.js';
+import { CommandSender, MachineBelief } from '../src/workers/index.js';
 
 const PORT = 9000;
 const CALL = { method: 'GET', path: '/status', timeoutMs: 1000 } as const;
@@ -66,20 +66,20 @@
   const [here = ''] = answering(lab, 1, 5);
   const node = lab.process('10.0.0.1', null, undefined, 0);
   const free = lab.process('10.0.0.2');
-  const courier = (from: typeof node, host: string): Courier => {
+  const commandSender = (from: typeof node, host: string): CommandSender => {
     const belief = new MachineBelief(revision(3), millis(0));
     const hooks = { heard: () => undefined, superseded: () => undefined };
-    const made = new Courier(machineId(host), belief, from, lab.log, hooks, new SocketBudget(5));
+    const made = new CommandSender(machineId(host), belief, from, lab.log, hooks, new SocketBudget(5));
     made.setAddress(`${host}:${PORT}`);
     return made;
   };
-  const without = courier(node, here);
+  const without = commandSender(node, here);
   await lab.settle(without.send([]));
   assert.equal(without.failures, 0);
   assert.ok(!without.ready(), 'it waits before it tries again');
   await lab.pass(1000);
   assert.ok(without.ready());
-  const silent = courier(free, '10.1.0.99');
+  const silent = commandSender(free, '10.1.0.99');
   await lab.settle(silent.send([]));
   assert.equal(silent.failures, 1);
 });
--- a/test/standins/quotas.ts
+++ b/test/standins/quotas.ts
@@ -109,7 +109,6 @@
       },
       mirror: {
         get: (key) => this.entries.get(key),
-        under: (prefix) => [...this.entries.values()].filter(({ key }) => key.startsWith(prefix)),
         apply: ({ key, value, version }) => this.take({ key, value, version }),
         wrote: (ops, version) => {
           for (const op of ops)
--- a/test/suspects.test.ts
+++ b/test/suspects.test.ts
@@ -15,7 +15,7 @@
   wallMillis,
 } from '../src/kernel/index.js';
 import { planPlacement, type MachineView, type PendingJob } from '../src/placement/index.js';
-import { Whereabouts } from '../src/workers/index.js';
+import { TaskIndex } from '../src/workers/index.js';
 
 const run = (over: Parameters<typeof spec>[0]): JobRun => {
   const job = spec(over);
@@ -64,7 +64,7 @@
     revision(1),
     { ...systemRuntime, ...clock },
     createLogger('silent', 't'),
-    new Whereabouts(),
+    new TaskIndex(),
     hooks,
     new SocketBudget(10),
   );
