Move the announcement and the wiring of quotas out of service.ts

Change: what a controller's key says of its program stands in announcement.ts, and quota.ts puts the division of limits together. Behaviour as before.

--- /dev/null
+++ b/src/service/announcement.ts
@@ -0,0 +1,28 @@
+import { SETTINGS_FORMAT } from '../admin/index.js';
+import { JOB_FORMAT, PROGRESS_FORMAT } from '../jobs/index.js';
+import { PAGE_FORMAT, SHARD_FORMAT } from '../membership/index.js';
+import { FRAME_VERSION } from '../peers/index.js';
+import { QUOTA_FORMAT } from '../quota/index.js';
+import { encodeAnnouncement, FEATURES, RELEASE, ROLLOUT_FORMAT } from '../rollout/index.js';
+
+/** The newest version of each kind of record that this program reads. */
+const RECORDS = {
+  shard: SHARD_FORMAT,
+  page: PAGE_FORMAT,
+  job: JOB_FORMAT,
+  progress: PROGRESS_FORMAT,
+  settings: SETTINGS_FORMAT,
+  rollout: ROLLOUT_FORMAT,
+  quota: QUOTA_FORMAT,
+};
+
+/** Names of the features that this program has. */
+export const FEATURE_NAMES: readonly string[] = FEATURES.map(({ name }) => name);
+
+/** What a controller's key says of its program, beside its incarnation. */
+export const ANNOUNCEMENT = encodeAnnouncement({
+  release: RELEASE,
+  features: FEATURE_NAMES,
+  frames: FRAME_VERSION,
+  records: RECORDS,
+});
--- a/src/service/quota.ts
+++ b/src/service/quota.ts
@@ -1,7 +1,11 @@
-import type { NodeName } from '../kernel/index.js';
+import type { TeamFacts } from '../config/index.js';
+import type { ShardHolder } from '../holder/index.js';
+import type { Logger, NodeName, Runtime, ShardName } from '../kernel/index.js';
+import { settleShard, type ShardDirectory } from '../membership/index.js';
 import type { PeerLink, PeerMessage, QuotaNeed } from '../peers/index.js';
-import type { ShardDemand, TeamNeed } from '../quota/index.js';
+import { QuotaShares, type QuotaMode, type ShardDemand, type TeamNeed } from '../quota/index.js';
 import { QUOTA_SHARES } from '../rollout/index.js';
+import type { Mirror, StateClient } from '../state/index.js';
 
 type QuotaMessage = Extract<PeerMessage, { kind: 'quota' }>;
 
@@ -38,3 +42,32 @@
   const has = (peer: NodeName): boolean => peers.statusOf(peer)?.features.includes(QUOTA_SHARES) === true;
   for (const peer of peers.names) if (has(peer)) peers.send(peer, message);
 }
+
+export interface QuotaParts {
+  readonly teams: ReadonlyMap<string, TeamFacts>;
+  readonly state: StateClient;
+  readonly mirror: Mirror;
+  readonly directory: ShardDirectory;
+  readonly peers: PeerLink;
+  readonly runtime: Runtime;
+  readonly log: Logger;
+  /** The shards that this node holds. */
+  readonly holders: ReadonlyMap<ShardName, ShardHolder>;
+  mode(): QuotaMode;
+  /** All shards. */
+  shards(): readonly ShardName[];
+}
+
+/** The division of teams' limits, as this node takes part in it. */
+export function createQuotas(parts: QuotaParts): QuotaShares {
+  const { teams, state, mirror, directory, peers, runtime, log, holders } = parts;
+  return new QuotaShares({
+    ...{ teams, state, mirror, runtime, log },
+    mode: () => parts.mode(),
+    shards: () => parts.shards(),
+    sealed: () => directory.sealed,
+    holders: () => holders.values(),
+    tell: (demand) => tellPeers(peers, demand),
+    settle: (shard) => settleShard(shard, state, mirror, runtime, () => holders.get(shard)?.dropped === false),
+  });
+}
--- a/src/service/service.ts
+++ b/src/service/service.ts
@@ -1,9 +1,9 @@
-import { adminRouter, SETTINGS_FORMAT, SettingsStore } from '../admin/index.js';
+import { adminRouter, SettingsStore } from '../admin/index.js';
 import { Carrier, leftoverForMs, type BoundFacts } from '../carry/index.js';
 import { CloudClient } from '../cloud/index.js';
 import type { Settings } from '../config/index.js';
 import { ShardHolder, type HolderDeps, type ReportReply } from '../holder/index.js';
-import { JOB_FORMAT, JobRegistry, PROGRESS_FORMAT } from '../jobs/index.js';
+import { JobRegistry } from '../jobs/index.js';
 import {
   incarnation,
   ReconcileLoop,
@@ -18,27 +18,10 @@
 } from '../kernel/index.js';
 import { Leader } from '../leasing/index.js';
 import { Steward } from '../pipelines/index.js';
-import {
-  LEASE_MS,
-  Membership,
-  PAGE_FORMAT,
-  settleShard,
-  SHARD_FORMAT,
-  ShardDirectory,
-  type ShardValue,
-} from '../membership/index.js';
-import { QUOTA_FORMAT, QuotaShares } from '../quota/index.js';
-import { FRAME_VERSION, PeerLink, type PeerMessage, type Received } from '../peers/index.js';
-import {
-  CARRIED_CANCELLATIONS,
-  Conductor,
-  encodeAnnouncement,
-  FEATURES,
-  GROUPED_PROGRESS,
-  RELEASE,
-  ROLLOUT_FORMAT,
-  Switches,
-} from '../rollout/index.js';
+import { LEASE_MS, Membership, ShardDirectory, type ShardValue } from '../membership/index.js';
+import type { QuotaShares } from '../quota/index.js';
+import { PeerLink, type PeerMessage, type Received } from '../peers/index.js';
+import { CARRIED_CANCELLATIONS, Conductor, FEATURES, GROUPED_PROGRESS, RELEASE, Switches } from '../rollout/index.js';
 import {
   JOBS,
   LIVE,
@@ -52,13 +35,14 @@
   type Change,
 } from '../state/index.js';
 import { encodeRedirect, WorkerReachability, type WorkerMessage } from '../workers/index.js';
+import { ANNOUNCEMENT, FEATURE_NAMES } from './announcement.js';
 import { createApp, laneRoutes, listen, type Handlers, type Listener } from './http.js';
 import { Trail } from '../trail/index.js';
 import { Forms } from './forms.js';
 import { Health } from './health.js';
 import { checkReachability } from './reachability.js';
 import { handlePeer } from './peers.js';
-import { tellPeers } from './quota.js';
+import { createQuotas } from './quota.js';
 import { ShardRoutes } from './routes.js';
 import { TypeBook } from './types.js';
 import { rolloutDesk } from './overview.js';
@@ -67,17 +51,6 @@
 import { trailView } from './trailview.js';
 import { UserDesk } from './users.js';
 
-const FEATURE_NAMES = FEATURES.map(({ name }) => name);
-/** The newest version of each kind of record that this program reads. */
-const RECORDS = {
-  shard: SHARD_FORMAT,
-  page: PAGE_FORMAT,
-  job: JOB_FORMAT,
-  progress: PROGRESS_FORMAT,
-  settings: SETTINGS_FORMAT,
-  rollout: ROLLOUT_FORMAT,
-  quota: QUOTA_FORMAT,
-};
 const SUMMARY_EVERY_MS = 800;
 const QUOTA_EVERY_MS = 400;
 /** Looking costs a walk through the shard's tasks. */
@@ -191,27 +164,16 @@
           (this.reachability.ok || !this.peers.names.some((peer) => this.ownership.isFit(peer))),
         mayLead: () => this.ownership.mayTake,
         paged: () => this.forms.blocks === 'pages',
-        announcement: () =>
-          encodeAnnouncement({ release: RELEASE, features: FEATURE_NAMES, frames: FRAME_VERSION, records: RECORDS }),
+        announcement: () => ANNOUNCEMENT,
       },
       runtime,
       log,
     );
-    this.quotas = new QuotaShares({
-      ...{ teams: settings.teams, state: this.state, mirror: this.mirror, runtime, log },
+    this.quotas = createQuotas({
+      ...{ teams: settings.teams, state: this.state, mirror: this.mirror, directory: this.directory },
+      ...{ peers: this.peers, runtime, log, holders: this.ownership.holders },
       mode: () => this.forms.quotas,
       shards: () => this.membership.shards,
-      sealed: () => this.directory.sealed,
-      holders: () => this.ownership.holders.values(),
-      tell: (demand) => tellPeers(this.peers, demand),
-      settle: (shard) =>
-        settleShard(
-          shard,
-          this.state,
-          this.mirror,
-          runtime,
-          () => this.ownership.holders.get(shard)?.dropped === false,
-        ),
     });
     this.routes = new ShardRoutes({
       self: settings.node,
