Keep endless amounts out of shares; tell why a team is held back

Cause: while tasks of unknown jobs may be anybody's, use is endless, and endless less endless (a team without a limit for accelerators) is no number. Found by reading and shown by the limits test with shares.

Change: endless stays endless; a shard whose use isn't known neither gives nor takes; shares that are no numbers are never stored. `admin quotas` tells heldBackBy. Fifty-two teams that wait at once have a test.

--- a/packages/region/test/limits.test.ts
+++ b/packages/region/test/limits.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { isObject } from '../../../src/kernel/index.js';
+import { decodeShard } from '../../../src/membership/index.js';
 import { Region, type Day } from '../src/index.js';
 import { hang } from '../src/troubles.js';
 import { shortDay } from './days.js';
@@ -37,8 +38,8 @@
     const job = state.get(key);
     if (!isObject(job) || !JSON.stringify(job).includes('"letters"')) continue;
     const shard = String(job['shard']);
-    const record = state.get(`live/shards/${shard}`);
-    if (isObject(record)) return { shard, holder: String(record['holder']), life: String(record['incarnation']) };
+    const record = decodeShard(state.get(`live/shards/${shard}`));
+    if (record) return { shard, holder: record.holder, life: record.incarnation };
   }
   return null;
 }
@@ -49,10 +50,14 @@
  * Reports would tell it of them before its first command, so none reaches a controller in those seconds; and a command
  * for another session, which the first one is, counts as acknowledged: the protocol leaves open whether it does.
  */
-async function hungAfterClaim(seed: number): Promise<{ rules: string[]; held: number; hung: number; started: number }> {
+async function hungAfterClaim(
+  seed: number,
+  allow: readonly string[] = [],
+): Promise<{ rules: string[]; held: number; hung: number; started: number }> {
   let held = 0;
+  const day = crowded(seed);
   const region = new Region({
-    day: crowded(seed),
+    day: { ...day, controllers: { ...day.controllers, allow: [...allow] } },
     controllerLog: {
       level: 'info',
       write: (line) => (held += Number(line.includes('teams with a limit start nothing'))),
@@ -99,3 +104,14 @@
   // Or the days show nothing: somewhere the new holder has seen tasks of jobs that it doesn't know.
   assert.ok(held > 0);
 });
+
+test('the same with limits that are shared between shards: shares stay numbers, and the team goes on', async () => {
+  let held = 0;
+  for (const seed of [3, 4, 5]) {
+    const played = await hungAfterClaim(seed, ['quota-shares']);
+    assert.deepEqual(played.rules, [], String(seed));
+    assert.ok(played.started > 50, `${played.started} started`);
+    held += played.held;
+  }
+  assert.ok(held > 0);
+});
--- a/src/quota/amount.ts
+++ b/src/quota/amount.ts
@@ -17,12 +17,16 @@
 });
 
 export const plus = (a: Amount, b: Amount): Amount => each(a, b, (x, y) => x + y);
-/** What is left of `a` without `b`, never below nothing. */
-export const less = (a: Amount, b: Amount): Amount => each(a, b, (x, y) => Math.max(0, x - y));
+/** What is left of `a` without `b`, never below nothing; what is endless stays so, whatever is taken from it. */
+export const less = (a: Amount, b: Amount): Amount =>
+  each(a, b, (x, y) => (x === Number.POSITIVE_INFINITY ? x : Math.max(0, x - y)));
 export const smaller = (a: Amount, b: Amount): Amount => each(a, b, Math.min);
 export const larger = (a: Amount, b: Amount): Amount => each(a, b, Math.max);
 export const times = (a: Amount, factor: number): Amount => ({ cpus: a.cpus * factor, gpus: a.gpus * factor });
 
+/** Is it a number of each? Tasks of unknown jobs may be of any size: what they use is endless. */
+export const isFinite = ({ cpus, gpus }: Amount): boolean => Number.isFinite(cpus) && Number.isFinite(gpus);
+
 /** Does `a` find room in `b`? */
 export const within = (a: Amount, b: Amount): boolean => a.cpus <= b.cpus + EPSILON && a.gpus <= b.gpus + EPSILON;
 
--- a/src/quota/decide.ts
+++ b/src/quota/decide.ts
@@ -1,5 +1,18 @@
 import type { ShardName } from '../kernel/index.js';
-import { counted, isNothing, larger, less, NOTHING, plus, smaller, sum, times, within, type Amount } from './amount.js';
+import {
+  counted,
+  isFinite,
+  isNothing,
+  larger,
+  less,
+  NOTHING,
+  plus,
+  smaller,
+  sum,
+  times,
+  within,
+  type Amount,
+} from './amount.js';
 import { shareOf, totalOf, type QuotaRecord } from './record.js';
 
 /** What a shard's holder says of a team. */
@@ -29,7 +42,7 @@
 /** Who goes first: by priority, then the longest waiting. */
 function inOrder(needs: Needs): [ShardName, TeamNeed][] {
   return [...needs]
-    .filter(([, { waiting }]) => !isNothing(waiting))
+    .filter(([, { use, waiting }]) => isFinite(use) && !isNothing(waiting))
     .sort(([a, x], [b, y]) => y.priority - x.priority || y.waitedMs - x.waitedMs || (a < b ? -1 : 1));
 }
 
@@ -152,6 +165,8 @@
   const { limit, record, self, account, returning } = at;
   const use = counted(limit, at.use);
   const share = shareOf(record, self);
+  // What is not known is neither given away nor said to be in use: endless, it would be no share any more.
+  if (!isFinite(use)) return null;
   // In use though it has no share: tasks from before limits were shared, or lowered. It is said, so that others heed it.
   if (!within(use, share)) return withShares(record, [[self, larger(use, share)]]);
   const total = totalOf(record);
@@ -187,7 +202,7 @@
   let left = counted(limit, limit);
   for (const [shard, { use }] of needs) {
     if (shard === account || isNothing(use)) continue;
-    if (!Number.isFinite(use.cpus) || !Number.isFinite(use.gpus)) return null;
+    if (!isFinite(use)) return null;
     shares.set(shard, use);
     left = less(left, use);
   }
@@ -195,6 +210,20 @@
   return { shares, rest: {} };
 }
 
+/** Why work of a team that has room does not start: what keeps it back; null: nothing waits. */
+export type HeldBackBy = 'unknown jobs' | 'limit' | 'share';
+
+/** For operators: what keeps a team's work back, by what all holders have said. Pure. */
+export function heldBackBy(limit: Amount, needs: Needs): HeldBackBy | null {
+  const all = [...needs.values()];
+  const waiting = all.filter((need) => !isNothing(need.waiting));
+  if (waiting.length === 0) return null;
+  const use = sum(all.map((need) => need.use));
+  if (!isFinite(use)) return 'unknown jobs';
+  const left = less(limit, use);
+  return waiting.some(({ unit }) => within(unit, left)) ? 'share' : 'limit';
+}
+
 /**
  * Up to where a shard may use the limit. While the shares together are more than it (it was lowered, or tasks from before
  * were found), every shard keeps back all that is too much. Pure.
--- a/src/quota/shares.ts
+++ b/src/quota/shares.ts
@@ -9,8 +9,8 @@
   type Mirror,
   type StateClient,
 } from '../state/index.js';
-import { isNothing, less, limitOf, smaller, sum, type Amount } from './amount.js';
-import { capOf, firstShares, nextShares, unitsIn, type TeamNeed } from './decide.js';
+import { isFinite, isNothing, less, limitOf, smaller, sum, type Amount } from './amount.js';
+import { capOf, firstShares, heldBackBy, nextShares, unitsIn, type HeldBackBy, type TeamNeed } from './decide.js';
 import { DemandBoard, type ShardDemand } from './demand.js';
 import { decodeQuota, encodeQuota, shareOf, type QuotaRecord } from './record.js';
 
@@ -258,7 +258,14 @@
       return { team, shard, key, guards, next: null, waitedMs };
     const use = need?.use ?? { cpus: 0, gpus: 0 };
     const next = nextShares({ ...{ limit, record, self: shard, use, needs: all, account, returning } });
-    return next && { team, shard, key, guards, next, waitedMs };
+    return next && this.isSound(team, next) ? { team, shard, key, guards, next, waitedMs } : null;
+  }
+
+  /** What is no number could never be read back, and would stop the team for good: such a record is a defect. */
+  private isSound(team: string, { shares }: QuotaRecord): boolean {
+    const sound = [...shares.values()].every(isFinite);
+    if (!sound) this.deps.log.error({ team, shares: [...shares] }, 'shares that are no numbers are not stored');
+    return sound;
   }
 
   /** That the switch still stands as this node saw it: what is written late, after it went back, must fail. */
@@ -293,7 +300,8 @@
     const next = nextShares({ ...{ limit, record: first, self: shard, use, needs, account: shard, returning: false } });
     const key = quotaKey(team);
     const guards = [{ key, version: 0 }, held, ...this.switchedOn, ...seals];
-    return { team, shard, key, guards, next: next ?? first, waitedMs };
+    const made = next ?? first;
+    return this.isSound(team, made) ? { team, shard, key, guards, next: made, waitedMs } : null;
   }
 
   private async write(shard: ShardName, changes: readonly Change[]): Promise<void> {
@@ -333,16 +341,17 @@
     const now = this.deps.runtime.now();
     const overview: QuotaOverview[] = [];
     for (const [team, facts] of this.deps.teams) {
-      if (!limitOf(facts)) continue;
+      const whole = limitOf(facts);
+      if (!whole) continue;
       const record = this.recordOf(team);
       const shares = record && record !== 'foreign' ? Object.fromEntries(record.shares) : {};
-      const needs = [...this.board.needsOf(team, now)].filter(
-        ([, { use, waiting }]) => !(isNothing(use) && isNothing(waiting)),
-      );
+      const all = this.board.needsOf(team, now);
+      const needs = [...all].filter(([, { use, waiting }]) => !(isNothing(use) && isNothing(waiting)));
       overview.push({
         team,
         limit: { cpus: facts.cpusMax, gpus: facts.gpusMax },
         account: this.account(team),
+        heldBackBy: heldBackBy(whole, all),
         form: record === 'foreign' ? 'unreadable' : record ? 'shared' : 'whole',
         shares,
         needs: Object.fromEntries(
@@ -359,6 +368,8 @@
   /** 0: none. */
   readonly limit: Amount;
   readonly account: ShardName | null;
+  /** Why work that has room does not start; null: none waits. Known only while limits are shared. */
+  readonly heldBackBy: HeldBackBy | null;
   readonly form: 'whole' | 'shared' | 'unreadable';
   readonly shares: Readonly<Record<string, Amount>>;
   readonly needs: Readonly<
--- a/test/quota.test.ts
+++ b/test/quota.test.ts
@@ -2,16 +2,19 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { decodeShard, encodeShard, SEALED_HOLDER, type ShardValue } from '../src/membership/index.js';
-import { incarnation, machineId, nodeName, shardName, type ShardName } from '../src/kernel/index.js';
+import { incarnation, machineId, millis, nodeName, shardName, type ShardName } from '../src/kernel/index.js';
 import {
   capOf,
   decodeQuota,
   encodeQuota,
   firstShares,
+  heldBackBy,
   isNothing,
   less,
   nextShares,
   NO_NEED,
+  QuotaShares,
+  type QuotaDeps,
   plus,
   shareOf,
   STARVED_MS,
@@ -26,6 +29,7 @@
 import { planPlacement } from '../src/placement/index.js';
 import { decodeMessage, encodeMessage, isKindOf } from '../src/peers/index.js';
 import { revision } from '../src/kernel/index.js';
+import { ROLLOUT_STATE, shardKey, type Entry } from '../src/state/index.js';
 import { Luck } from '../packages/region/src/index.js';
 import { QuotaWorld, type LeftOut } from './standins/quotas.js';
 import { spec } from './standins/jobs.js';
@@ -140,6 +144,68 @@
   assert.equal(firstShares(LIMIT, a, new Map([[b, { ...NO_NEED, use: { cpus: Infinity, gpus: Infinity } }]])), null);
 });
 
+test('while tasks of unknown jobs may be of anybody, a shard gives nothing, takes nothing, and its share stays a number', () => {
+  const [a, b, c] = NAMES as [ShardName, ShardName, ShardName];
+  const record: QuotaRecord = { shares: new Map(NAMES.map((name) => [name, { cpus: 25, gpus: 4 }])), rest: {} };
+  const endless = { cpus: Infinity, gpus: Infinity };
+  const waits = { ...NO_NEED, waiting: { cpus: 40, gpus: 0 }, unit: { cpus: 1, gpus: 0 }, waitedMs: 900 };
+  const all = new Map([
+    [a, { ...waits, use: endless }],
+    [b, waits],
+    [c, NO_NEED],
+  ]);
+  const at = { limit: LIMIT, record, needs: all, account: c, returning: false };
+  // A team without a limit for accelerators: endless less endless is no number.
+  const cpusOnly = { cpus: 100, gpus: Infinity };
+  for (const amount of [...wantedShares(cpusOnly, all)].filter(([name]) => name !== a).map(([, wanted]) => wanted))
+    assert.ok(Number.isFinite(amount.cpus) && Number.isFinite(amount.gpus));
+  for (const self of [b, c]) {
+    const next = nextShares({ ...at, limit: cpusOnly, self, use: NO_NEED.use });
+    for (const { cpus, gpus } of next?.shares.values() ?? []) assert.ok(cpus >= 0 && gpus >= 0);
+  }
+  assert.equal(nextShares({ ...at, self: a, use: endless }), null);
+  const given = nextShares({ ...at, self: c, use: NO_NEED.use });
+  assert.ok(given === null || within(shareOf(given, a), shareOf(record, a)));
+  assert.equal(nextShares({ ...at, self: a, use: endless, returning: true }), null);
+});
+
+test('operators are told why a team is held back: tasks of unknown jobs, its limit, or its share', () => {
+  const [a, b] = NAMES as [ShardName, ShardName];
+  const waits = { ...NO_NEED, waiting: { cpus: 8, gpus: 0 }, unit: { cpus: 8, gpus: 0 } };
+  const uses = (cpus: number): TeamNeed => ({ ...NO_NEED, use: { cpus, gpus: 0 } });
+  assert.equal(heldBackBy(LIMIT, new Map([[a, uses(20)]])), null);
+  assert.equal(
+    heldBackBy(
+      LIMIT,
+      new Map([
+        [a, uses(20)],
+        [b, waits],
+      ]),
+    ),
+    'share',
+  );
+  assert.equal(
+    heldBackBy(
+      LIMIT,
+      new Map([
+        [a, uses(95)],
+        [b, waits],
+      ]),
+    ),
+    'limit',
+  );
+  assert.equal(
+    heldBackBy(
+      LIMIT,
+      new Map([
+        [a, uses(Infinity)],
+        [b, waits],
+      ]),
+    ),
+    'unknown jobs',
+  );
+});
+
 const LIMIT_CPUS = 12;
 
 interface Run {
@@ -213,6 +279,65 @@
   }
 });
 
+const entryOf = (key: string, value: unknown): Entry => ({ key, value, version: revision(1) });
+
+test('fifty-two teams that all wait at once: changes stay within their part, and everybody has its share in the end', async () => {
+  const [mine, other] = [shardName('s-0'), shardName('s-1')];
+  const teams = new Map(
+    Array.from({ length: 52 }, (_, i) => [`team ${i}`, { cpus: 0, cpusMax: 10, gpus: 0, gpusMax: 0 }] as const),
+  );
+  const waits = { ...NO_NEED, waiting: { cpus: 4, gpus: 0 }, unit: { cpus: 1, gpus: 0 }, priority: 1, waitedMs: 500 };
+  const stored = new Map<string, Entry>([mine, other].map((name) => [shardKey(name), entryOf(shardKey(name), {})]));
+  stored.set(ROLLOUT_STATE, entryOf(ROLLOUT_STATE, {}));
+  const made: { readonly at: number; readonly ops: number }[] = [];
+  let now = 0;
+  const shares: QuotaShares = new QuotaShares({
+    teams,
+    state: {
+      limits: { writeRps: 50, txnOps: 5 } as QuotaDeps['state']['limits'],
+      writers: 2,
+      get: () => Promise.resolve({ kind: 'absent' }),
+      txn: (_urgency, guards, ops) => {
+        assert.ok(ops.length <= 5 && guards.length <= 20, `${ops.length} changes, ${guards.length} conditions`);
+        made.push({ at: now, ops: ops.length });
+        return Promise.resolve({ kind: 'ok', revision: revision(made.length) });
+      },
+    },
+    mirror: {
+      get: (key) => stored.get(key),
+      apply: () => undefined,
+      wrote: (ops) => {
+        for (const op of ops) if ('put' in op) stored.set(op.put, entryOf(op.put, op.value));
+      },
+    },
+    runtime: { now: () => millis(now) },
+    log: { info: () => undefined, warn: () => undefined, error: () => undefined },
+    mode: () => 'shared',
+    shards: () => [mine, other],
+    sealed: () => new Map([mine, other].map((name) => [name, revision(1)])),
+    // This node holds both shards: what is account to one of them is asked for by the other.
+    holders: () =>
+      [mine, other].map((shard) => ({
+        ...{ shard, claimedAt: revision(1), settled: true },
+        teamNeeds: () =>
+          new Map([...teams.keys()].map((team) => [team, shares.account(team) === shard ? NO_NEED : waits])),
+      })),
+    tell: () => undefined,
+    settle: () => Promise.resolve(),
+  });
+  for (; now < 30_000; now += 400) {
+    shares.round();
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  const changes = made.reduce((total, { ops }) => total + ops, 0);
+  // 12 % of 50 a second for two nodes, half of them this one's, and what it may save up.
+  assert.ok(changes <= 30 * 3 + 6, `${changes} changes`);
+  for (const team of teams.keys()) {
+    const asks = shares.account(team) === mine ? other : mine;
+    assert.ok((shares.capOf(team, asks)?.cpus ?? 0) >= 4, team);
+  }
+});
+
 test('records of shares: written and read back, unknown fields kept, and what cannot be read starts nothing', () => {
   const record: QuotaRecord = { shares: new Map([[shardName('a'), { cpus: 1.5, gpus: 2 }]]), rest: { later: 1 } };
   assert.deepEqual(decodeQuota(encodeQuota(record)), record);
