Work out what teams use once for each look at quota shares

Cause: a holder's look at what limited teams need also worked out every team's cap and what is left of its whole limit, which that look doesn't use; an amount of nothing stood four times in shares.ts beside the one in amount.ts.

Change: what is in use has a method of its own, which both the plan and the look at needs call; NOTHING is used throughout. Behaviour as before.

--- a/src/holder/accounts.ts
+++ b/src/holder/accounts.ts
@@ -21,10 +21,8 @@
   /** What teams with a limit may be using now, and up to where they may. */
   use(): ReadonlyMap<string, TeamUse> {
     const { shard, deps } = this.held;
-    const { use, unknown } = teamUse(deps.settings.teams, this.held.machines.values(), this.held.storedSpecOf);
-    this.noteUnknown(unknown, [...use.keys()]);
     const limited = new Map<string, TeamUse>();
-    for (const [team, account] of use) {
+    for (const [team, account] of this.inUse()) {
       const cap = deps.quotas.capOf(team, shard);
       const left = deps.quotas.leftOf(team);
       limited.set(team, {
@@ -37,6 +35,14 @@
     return limited;
   }
 
+  /** The same under the teams' whole limits, whatever share of them is this shard's. */
+  private inUse(): ReadonlyMap<string, TeamUse> {
+    const { settings } = this.held.deps;
+    const { use, unknown } = teamUse(settings.teams, this.held.machines.values(), this.held.storedSpecOf);
+    this.noteUnknown(unknown, [...use.keys()]);
+    return use;
+  }
+
   private noteUnknown(unknown: number, teams: readonly string[]): void {
     if (unknown > 0 !== this.heldBackBy > 0)
       this.held.deps.log.info(
@@ -58,7 +64,7 @@
       const waitedMs = millis(Math.max(0, wall - run.countsFrom));
       waiting.push({ spec: run.spec, missing: Math.min(count, run.missing), waitedMs });
     }
-    return teamNeeds(this.use(), waiting);
+    return teamNeeds(this.inUse(), waiting);
   }
 
   /** Jobs of limited teams whose account another shard keeps. */
--- a/src/quota/shares.ts
+++ b/src/quota/shares.ts
@@ -9,7 +9,7 @@
   type Mirror,
   type StateClient,
 } from '../state/index.js';
-import { isFinite, isNothing, less, limitOf, smaller, sum, type Amount } from './amount.js';
+import { isFinite, isNothing, less, limitOf, NOTHING, smaller, sum, type Amount } from './amount.js';
 import { capOf, firstShares, heldBackBy, nextShares, unitsIn, type HeldBackBy, type TeamNeed } from './decide.js';
 import { DemandBoard, type ShardDemand } from './demand.js';
 import { decodeQuota, encodeQuota, shareOf, type QuotaRecord } from './record.js';
@@ -116,7 +116,7 @@
     const mode = this.deps.mode();
     if (mode === 'whole') return limit;
     const record = this.recordOf(team);
-    if (record === 'foreign') return NO_CAP;
+    if (record === 'foreign') return NOTHING;
     const cap = record ? capOf(limit, record, shard) : this.undivided(team, shard, limit);
     const lowered = this.lowered.get(lowerKey(team, shard));
     return lowered ? smaller(cap, lowered) : cap;
@@ -127,13 +127,13 @@
    * shared, so every shard has to be heard of once before anything is started on the strength of the whole limit.
    */
   private undivided(team: string, shard: ShardName, limit: Amount): Amount {
-    if (this.account(team) !== shard) return NO_CAP;
+    if (this.account(team) !== shard) return NOTHING;
     let left = limit;
     for (const other of this.deps.shards()) {
       if (other === shard) continue;
       const use = this.board.lastUseOf(team, other);
       if (use) left = less(left, use);
-      else if (!this.returning) return NO_CAP;
+      else if (!this.returning) return NOTHING;
     }
     return left;
   }
@@ -150,7 +150,7 @@
   startableIn(team: string, shard: ShardName, unit: Amount): number {
     const cap = this.capOf(team, shard);
     if (!cap) return Number.POSITIVE_INFINITY;
-    const use = this.board.needsOf(team, this.deps.runtime.now()).get(shard)?.use ?? { cpus: 0, gpus: 0 };
+    const use = this.board.needsOf(team, this.deps.runtime.now()).get(shard)?.use ?? NOTHING;
     return unitsIn(less(cap, use), unit);
   }
 
@@ -256,7 +256,7 @@
     const guards = [{ key, version: entry?.version ?? 0 }, held, ...(returning ? [] : this.switchedOn)];
     if (returning && account === shard && [...record.shares.keys()].every((other) => other === shard))
       return { team, shard, key, guards, next: null, waitedMs };
-    const use = need?.use ?? { cpus: 0, gpus: 0 };
+    const use = need?.use ?? NOTHING;
     const next = nextShares({ ...{ limit, record, self: shard, use, needs: all, account, returning } });
     return next && this.isSound(team, next) ? { team, shard, key, guards, next, waitedMs } : null;
   }
@@ -296,7 +296,7 @@
     }
     const first = firstShares(limit, shard, needs);
     if (!first) return null;
-    const use = needs.get(shard)?.use ?? { cpus: 0, gpus: 0 };
+    const use = needs.get(shard)?.use ?? NOTHING;
     const next = nextShares({ ...{ limit, record: first, self: shard, use, needs, account: shard, returning: false } });
     const key = quotaKey(team);
     const guards = [{ key, version: 0 }, held, ...this.switchedOn, ...seals];
@@ -377,5 +377,4 @@
   >;
 }
 
-const NO_CAP: Amount = { cpus: 0, gpus: 0 };
 const lowerKey = (team: string, shard: ShardName): string => `${shard} ${team}`;
