--- a/packages/region/src/day/schema.ts
+++ b/packages/region/src/day/schema.ts
@@ -137,6 +137,8 @@
   /** A share of reads and transactions is carried out at once and answered up to 1.4 s later. */
   v.strictObject({ kind: v.literal('answers_held'), ...lasting, share }),
   v.strictObject({ kind: v.literal('watch_forgets'), ...at }),
+  /** This controller's watches tell nothing, while everything else that it asks of the state service is answered. */
+  v.strictObject({ kind: v.literal('watch_held'), ...lasting, controller }),
   v.strictObject({ kind: v.literal('cloud_outage'), ...lasting }),
   v.strictObject({ kind: v.literal('capacity_drop'), ...lasting, share }),
   v.strictObject({ kind: v.literal('boots_late'), ...lasting, times: v.pipe(v.number(), v.gtValue(1)) }),
--- a/packages/region/src/models/state.ts
+++ b/packages/region/src/models/state.ts
@@ -86,6 +86,8 @@
   private nextLease = 1;
   private down = false;
   private readonly refused = new Set<string>();
+  /** Nodes whose watches tell nothing. */
+  private readonly unwatched = new Set<string>();
   private readonly requests: Allowance;
   private readonly changes: Allowance;
   /** How much longer than usual it takes. */
@@ -138,6 +140,13 @@
     if (!on) this.wake();
   }
 
+  /** One node's watches, open and new ones, tell nothing, while everything else that it asks is answered. */
+  holdWatches(ip: string, on: boolean): void {
+    if (on) this.unwatched.add(ip);
+    else this.unwatched.delete(ip);
+    if (!on) this.wake();
+  }
+
   /** From now on it takes no more than this; what is stored stays as it is. */
   limit(lower: Partial<Pick<StateFacts, 'writeRps' | 'valueKb' | 'txnOps'>>): void {
     this.facts = { ...this.facts, ...lower };
@@ -342,7 +351,7 @@
         this.watches.delete(watch);
         resolve(answer);
       };
-      const waits = (): boolean => this.down || this.refused.has(from);
+      const waits = (): boolean => this.down || this.refused.has(from) || this.unwatched.has(from);
       const look = (): void => {
         if (waits()) return;
         if (after < this.forgotten) {
--- a/packages/region/src/troubles.ts
+++ b/packages/region/src/troubles.ts
@@ -216,6 +216,14 @@
       });
       break;
     }
+    case 'watch_held': {
+      const chosen = controllersOf(region, trouble.controller).map(({ host }) => host.ip);
+      for (const ip of chosen) parts.state.holdWatches(ip, true);
+      after(trouble.for_s, () => {
+        for (const ip of chosen) parts.state.holdWatches(ip, false);
+      });
+      break;
+    }
     case 'rolling_restart':
       for (const [i, controller] of region.controllers.entries())
         world.plan(world.now + i * trouble.gap_s * 1000, () => region.crash(controller, day.controllers.restart_s));
