Guard staged pages by the record that they are staged for

Cause: a write that counts was not guarded by what makes it count. Pages count once a head names their epoch, but staging guarded each by the page's own version alone. A process whose watch tells it nothing takes a shard for vacant as it once saw it, stages pages for that record, is refused because pages are there, reads them, and puts pages of the old epoch over those that the head names by now: the block is empty for everybody. A page of the same epoch went back to the machines of before the flip. The flip itself was guarded by the record and not by the pages that it makes count, so that pages laid out anew by another in between became the block.

Change: staging is guarded by the record's version as well; a flip, and a claim that is one, by all pages of the shard and the place of the next, as far as a transaction takes conditions; what has refused a staging, a flip or a claim is read. What to stage and by which conditions to flip are pure functions, and test/pages.test.ts plays these instead of a copy that had the guard by accident: three processes with views and limits of their own, staged writes late, repeated and lost too.

Why it works: a page can get an epoch only while the record still has that version, so nobody touches the pages of a head but by writes that the head or the page guards and that keep its epoch. Two that stage the same record by different limits make the other's flip fail.

The model without the new guards is caught ("staged", "flipped").

--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -256,19 +256,20 @@
     nodeVersion: Revision,
   ): Promise<void> {
     const holder = value?.holder ?? null;
-    const guards = [
-      { key: shardKey(shard), version },
-      { key: nodeKey(this.self), version: nodeVersion as number },
-    ];
+    const nodes = [{ key: nodeKey(this.self), version: nodeVersion as number }];
     // A holder that registers again in this very moment keeps its shard.
     if (holder !== null && holder !== this.self && value?.released !== true) {
-      guards.push({ key: nodeKey(holder), version: this.mirror.get(nodeKey(holder))?.version ?? 0 });
+      nodes.push({ key: nodeKey(holder), version: this.mirror.get(nodeKey(holder))?.version ?? 0 });
     }
     const earlier = earlierHolders(value, this.self);
     const known = this.directory.all.get(shard);
     const paged = this.hooks.paged();
+    const guards = [...nodes, { key: shardKey(shard), version }];
     // One large value may be more than the state service takes any more: its machines go into pages first.
-    if (paged && value?.epoch === null && known && !(await this.paging.stage(shard, known, Urgency.session))) return;
+    if (paged && value?.epoch === null && known) {
+      if (!(await this.paging.stage(shard, known, Urgency.session))) return;
+      guards.splice(nodes.length, 1, ...this.paging.flipGuards(shard, known.version, nodes.length));
+    }
     const next: ShardValue = {
       epoch: value?.epoch ?? (paged ? version : null),
       holder: this.self,
@@ -284,7 +285,7 @@
     this.previous.set(shard, earlier);
     const result = await this.state.txn(Urgency.session, guards, [{ put: shardKey(shard), value: encodeShard(next) }]);
     if (result.kind !== 'ok') {
-      if (result.kind === 'unknown') await this.refresh(shard);
+      if (result.kind !== 'refused') await this.paging.reread(guards);
       return;
     }
     this.vacantSince.delete(shard);
@@ -296,12 +297,4 @@
   previousOf(shard: ShardName): readonly PreviousHolder[] {
     return this.previous.get(shard) ?? [];
   }
-
-  /** The outcome of a claim is not known: what is stored decides. */
-  private async refresh(shard: ShardName): Promise<void> {
-    const read = await this.state.get(shardKey(shard));
-    if (read.kind !== 'found') return;
-    const { key, value, version } = read.entry;
-    this.mirror.apply({ key, value, removed: false, version });
-  }
 }
--- a/src/membership/pages.ts
+++ b/src/membership/pages.ts
@@ -15,6 +15,9 @@
   readonly machines: readonly BlockMachine[];
 }
 
+/** Which version of a page is known. */
+export type PageVersion = Pick<Page, 'key' | 'version'>;
+
 /** A shard as it is stored: its record, or its head and the pages of its epoch. */
 export interface KnownShard {
   readonly value: ShardValue;
@@ -23,7 +26,7 @@
   /** Of this epoch, by number; empty while the machines stand in the record itself. */
   readonly pages: readonly Page[];
   /** Keys of pages whose content counts no more. */
-  readonly spare: readonly { readonly key: string; readonly version: Revision }[];
+  readonly spare: readonly PageVersion[];
 }
 
 /** Changes to be made in one transaction. */
@@ -125,16 +128,63 @@
   };
 }
 
+/** A shard's record or head as it is known, and every place where a page of it stands or might be made. */
+function wholeGuards(shard: ShardName, version: Revision, pages: readonly PageVersion[]): Guard[] {
+  const keys = pages.map((page) => ({ key: page.key, version: page.version as number }));
+  const next = { key: pageKey(shard, keys.length), version: 0 };
+  return [{ key: shardKey(shard), version }, ...keys, next];
+}
+
 /**
  * What has to stand unchanged for a shard's machines to go back into its record: the head, its pages, and wherever a page
  * might be made of. Found by the plain model: a machine that had come into a page that the holder had yet to see was lost.
  */
-export function foldGuards(shard: ShardName, { version, pages, spare }: KnownShard): Guard[] {
-  const keys = [...pages, ...spare].map((page) => ({ key: page.key, version: page.version as number }));
-  const next = { key: pageKey(shard, keys.length), version: 0 };
-  return [{ key: shardKey(shard), version }, ...keys, next];
+export const foldGuards = (shard: ShardName, { version, pages, spare }: KnownShard): Guard[] =>
+  wholeGuards(shard, version, [...pages, ...spare]);
+
+/**
+ * What has to stand unchanged for a record to become the head of the pages that were staged for it; `there`: all pages
+ * of the shard, as staged. Conditions beyond `mostConditions` are left out, last pages first: a record that may not stay
+ * a single value has to be flipped however many pages it takes.
+ */
+export const flipGuards = (
+  shard: ShardName,
+  version: Revision,
+  there: Iterable<PageVersion>,
+  mostConditions: number,
+): Guard[] => wholeGuards(shard, version, [...there]).slice(0, mostConditions);
+
+/**
+ * The writes by which pages come to hold a record's machines, one for each page that doesn't yet; null: a page of a
+ * later release stands in the way. Each is guarded by the record too: pages that were staged for a record that has
+ * changed since may be the ones that its head names now.
+ */
+export function stageChanges(
+  shard: ShardName,
+  { value, version }: Pick<KnownShard, 'value' | 'version'>,
+  there: ReadonlyMap<string, Page | null>,
+  pageBytes: number,
+): BlockChange[] | null {
+  const wanted = layOut(version, value.machines, pageBytes);
+  const changes: BlockChange[] = [];
+  for (let n = 0; n < Math.max(wanted.length, there.size); n++) {
+    const key = pageKey(shard, n);
+    const machines = wanted[n] ?? [];
+    const page = there.get(key);
+    if (page === null) return null;
+    if (page?.epoch === version ? sameMachines(page.machines, machines) : n >= wanted.length) continue;
+    const guards = [
+      { key: shardKey(shard), version: version as number },
+      { key, version: page?.version ?? 0 },
+    ];
+    changes.push({ guards, ops: [{ put: key, value: encodePage(version, machines) }] });
+  }
+  return changes;
 }
 
+const sameMachines = (a: readonly BlockMachine[], b: readonly BlockMachine[]): boolean =>
+  a.length === b.length && a.every((machine, i) => machine.id === b[i]?.id);
+
 /** Takes machines out of a shard: one change for its record, or one for each page that names any. */
 export function leave(
   shard: ShardName,
--- a/src/membership/paging.ts
+++ b/src/membership/paging.ts
@@ -1,8 +1,8 @@
-import type { Logger, ShardName } from '../kernel/index.js';
-import { pageKey, shardKey, Urgency, type Guard, type Mirror, type Op, type StateClient } from '../state/index.js';
+import type { Logger, Revision, ShardName } from '../kernel/index.js';
+import { shardKey, Urgency, type Guard, type Mirror, type Op, type StateClient } from '../state/index.js';
 import type { ShardDirectory } from './directory.js';
-import { encodePage, foldGuards, layOut, type KnownShard } from './pages.js';
-import { encodeShard, type BlockMachine, type ShardValue } from './shard.js';
+import { flipGuards, foldGuards, stageChanges, type BlockChange, type KnownShard, type PageVersion } from './pages.js';
+import { encodeShard, type ShardValue } from './shard.js';
 
 export interface PagingDeps {
   readonly state: StateClient;
@@ -11,8 +11,14 @@
   readonly log: Logger;
 }
 
-const sameMachines = (a: readonly BlockMachine[], b: readonly BlockMachine[]): boolean =>
-  a.length === b.length && a.every((machine, i) => machine.id === b[i]?.id);
+/** Pages written in one transaction at most. */
+const PAGES_AT_ONCE = 8;
+
+/** One transaction for several pages: conditions that they share are named once. */
+function together(changes: readonly BlockChange[]): BlockChange {
+  const guards = new Map(changes.flatMap((change) => change.guards).map((guard) => [guard.key, guard]));
+  return { guards: [...guards.values()], ops: changes.flatMap(({ ops }) => ops) };
+}
 
 /** Puts a shard's machines from its record into pages, and back. */
 export class Paging {
@@ -23,64 +29,60 @@
    * head names their epoch, which is the record's version: so whoever ends in the middle leaves nothing to undo, and
    * another goes on with what is there. If the record changes meanwhile, they are staged anew.
    */
-  async stage(shard: ShardName, { value, version }: KnownShard, urgency: Urgency): Promise<boolean> {
-    const { state, directory, mirror } = this.deps;
+  async stage(shard: ShardName, known: KnownShard, urgency: Urgency): Promise<boolean> {
+    const { state, directory, mirror, log } = this.deps;
     const { limits } = state;
-    const there = directory.pagesOf(shard);
-    const wanted = layOut(version, value.machines, limits.valueBytes);
-    const todo: { readonly guard: Guard; readonly op: { readonly put: string; readonly value: unknown } }[] = [];
-    for (let n = 0; n < Math.max(wanted.length, there.size); n++) {
-      const key = pageKey(shard, n);
-      const machines = wanted[n] ?? [];
-      const page = there.get(key);
-      // It is of a later release, which knew more.
-      if (page === null) return false;
-      if (page?.epoch === version ? sameMachines(page.machines, machines) : n >= wanted.length) continue;
-      todo.push({
-        guard: { key, version: page?.version ?? 0 },
-        op: { put: key, value: encodePage(version, machines) },
-      });
-    }
-    const atOnce = Math.min(limits.txnOps, 8);
-    for (let at = 0; at < todo.length; at += atOnce) {
-      const batch = todo.slice(at, at + atOnce);
-      const ops = batch.map(({ op }) => op);
-      const result = await state.txn(
-        urgency,
-        batch.map(({ guard }) => guard),
-        ops,
-      );
+    const changes = stageChanges(shard, known, directory.pagesOf(shard), limits.valueBytes);
+    if (changes === null) return false;
+    const atOnce = Math.min(limits.txnOps, PAGES_AT_ONCE);
+    for (let at = 0; at < changes.length; at += atOnce) {
+      const { guards, ops } = together(changes.slice(at, at + atOnce));
+      const result = await state.txn(urgency, guards, ops);
       if (result.kind === 'ok') {
         mirror.wrote(ops, result.revision);
-      } else {
-        // Another has staged them, or a write of ours is still on its way: what is there decides.
-        if (result.kind !== 'refused') await Promise.all(batch.map(({ guard }) => this.reread(guard.key)));
-        return false;
+        log.info({ shard, epoch: known.version, pages: ops.length, revision: result.revision }, 'staged pages');
+        continue;
       }
+      // The record has changed, another has staged them, or a write of ours is on its way: what is there decides.
+      if (result.kind !== 'refused') await this.reread(guards);
+      log.info({ shard, epoch: known.version, seenUpTo: mirror.seenUpTo, why: result.kind }, 'pages are not staged');
+      return false;
     }
     return true;
   }
 
-  private async reread(key: string): Promise<void> {
+  /** What must stand unchanged while a record becomes the head of its staged pages; `others`: conditions beside these. */
+  flipGuards(shard: ShardName, version: Revision, others = 0): Guard[] {
+    const { state, directory } = this.deps;
+    const pages: PageVersion[] = [];
+    for (const page of directory.pagesOf(shard).values()) if (page) pages.push(page);
+    return flipGuards(shard, version, pages, state.limits.conditions - others);
+  }
+
+  /** Reads what has refused a write: the watch may be too far behind to show it. */
+  async reread(guards: readonly Guard[]): Promise<void> {
+    await Promise.all(guards.map(({ key }) => this.read(key)));
+  }
+
+  private async read(key: string): Promise<void> {
     const read = await this.deps.state.get(key);
     if (read.kind !== 'found') return;
     const { value, version } = read.entry;
     this.deps.mirror.apply({ key, value, removed: false, version });
   }
 
-  /** The holder turns its record into a head, once all pages are staged; by one small write that the record guards. */
+  /** The holder turns its record into a head, once all pages are staged; by one small write that record and pages guard. */
   async flip(shard: ShardName, known: KnownShard): Promise<void> {
     if (!(await this.stage(shard, known, Urgency.shard))) return;
     const { version } = known;
-    const guards = [{ key: shardKey(shard), version: version as number }];
-    if (await this.put(shard, { ...known.value, epoch: version }, guards))
+    if (await this.put(shard, { ...known.value, epoch: version }, this.flipGuards(shard, version)))
       this.deps.log.info({ shard, machines: known.value.machines.length }, "a shard's machines are in pages now");
   }
 
   /** Back into one record, by one write that the head and all pages guard; false: it doesn't fit any more. */
   async fold(shard: ShardName, known: KnownShard): Promise<boolean> {
     const guards = foldGuards(shard, known);
-    if (guards.length > 4 * this.deps.state.limits.txnOps) return false;
+    if (guards.length > this.deps.state.limits.conditions) return false;
     const done = await this.put(shard, { ...known.value, epoch: null }, guards);
     if (done) this.deps.log.info({ shard }, "a shard's machines are back in its record");
     return done;
@@ -92,7 +94,7 @@
     const op: Op & { readonly value: unknown } = { put: key, value: encodeShard(next) };
     const result = await state.txn(Urgency.shard, guards, [op]);
     if (result.kind === 'ok') mirror.apply({ key, value: op.value, removed: false, version: result.revision });
-    else if (result.kind !== 'refused') await this.reread(key);
+    else if (result.kind !== 'refused') await this.reread(guards);
     return result.kind === 'ok';
   }
 }
--- a/src/quota/shares.ts
+++ b/src/quota/shares.ts
@@ -229,7 +229,7 @@
     for (const change of changes) {
       if (batch.length >= most) break;
       const added = change.guards.filter(({ key }) => !keys.has(key));
-      if (keys.size + added.length > 4 * this.deps.state.limits.txnOps) break;
+      if (keys.size + added.length > this.deps.state.limits.conditions) break;
       for (const { key } of added) keys.add(key);
       batch.push(change);
     }
--- a/src/service/forms.ts
+++ b/src/service/forms.ts
@@ -77,7 +77,7 @@
       const { value } = known;
       if (value.epoch === null) continue;
       const fits = value.machines.length <= blockLimit(limits.presentValueKb);
-      if (!fits || foldGuards(shard, known).length > 4 * limits.txnOps) return -1;
+      if (!fits || foldGuards(shard, known).length > limits.conditions) return -1;
       left += 1;
     }
     return left;
--- a/src/state/limits.ts
+++ b/src/state/limits.ts
@@ -10,6 +10,8 @@
   readonly next?: { readonly writeRps: number; readonly valueKb: number; readonly txnOps: number };
 }
 
+/** By the state service's protocol. */
+const CONDITIONS_PER_CHANGE = 4;
 const WINDOW_MS = 10_000;
 /** So many refusals of changes that were within our own part, in that time, are no burst any more. */
 const REFUSALS = 4;
@@ -50,11 +52,16 @@
     return this.lowered && next ? Math.min(valueKb, next.valueKb) : valueKb;
   }
 
-  /** Changes of one transaction, now and later; four times as many conditions. */
+  /** Changes of one transaction, now and later. */
   get txnOps(): number {
     return Math.min(this.facts.txnOps ?? Infinity, this.facts.next?.txnOps ?? Infinity);
   }
 
+  /** Conditions of one transaction, now and later. */
+  get conditions(): number {
+    return CONDITIONS_PER_CHANGE * this.txnOps;
+  }
+
   /** 429 for changes that were within this process's part. */
   refusedRate(now: Millis): void {
     this.refusals = [...this.refusals.filter((at) => now - at < WINDOW_MS), now].slice(-REFUSALS);
--- a/test/pages.test.ts
+++ b/test/pages.test.ts
@@ -8,22 +8,26 @@
   encodePage,
   encodeShard,
   enter,
+  flipGuards,
   foldGuards,
   layOut,
   leave,
   ShardDirectory,
+  stageChanges,
   type BlockMachine,
   type KnownShard,
 } from '../src/membership/index.js';
-import { LEADER, LIVE, Mirror, pageKey, PAGES, shardKey, StateClient, valueBytes } from '../src/state/index.js';
+import { LEADER, LIVE, Mirror, PAGES, shardKey, StateClient, valueBytes } from '../src/state/index.js';
 import type { Guard, Op } from '../src/state/index.js';
 import { Lab } from '../packages/region/test/lab.js';
 
 const SHARDS = ['n-0', 'n-1'].map(shardName);
 const MACHINES = Array.from({ length: 6 }, (_, i) => `m-${i}`);
-/** Two machines fill a page. */
-const PAGE_BYTES = 150;
-const ROOM = { recordMost: 9, pageBytes: PAGE_BYTES };
+/** Two machines fill a page of two of the processes, one that of the third. */
+const PAGE_BYTES = [150, 150, 115];
+/** The state service takes so many conditions in one transaction. */
+const MOST_CONDITIONS = 20;
+const SHARD_KEYS = 'live/shards/';
 const machine = (id: string): BlockMachine => ({
   ...{ id: machineId(id), type: 'desk', zone: 'north', spot: false, address: '10.1.0.1:9000' },
 });
@@ -76,184 +80,239 @@
   readonly settles: boolean;
   readonly pageGuards: boolean;
   readonly heads: boolean;
+  /** Staged pages are guarded by the record that they are staged for. */
+  readonly staged: boolean;
+  /** A record becomes a head only of the pages that were staged. */
+  readonly flipped: boolean;
 }
-const ALL: Rules = { settled: true, settles: true, pageGuards: true, heads: true };
+const ALL: Rules = { settled: true, settles: true, pageGuards: true, heads: true, staged: true, flipped: true };
+
+/** What a write is for. */
+type Purpose = 'change' | 'stage' | 'flip';
 
 interface Pending {
   readonly guards: readonly Guard[];
   readonly ops: readonly Op[];
+  readonly purpose?: Purpose;
 }
 
-const action = fc.record({
-  kind: fc.constantFrom(
-    ...(['see', 'see', 'see', 'read', 'grant', 'grant', 'move', 'move', 'move', 'claim', 'elect'] as const),
-    ...(['flip', 'fold', 'arrive', 'arrive', 'arrive', 'release'] as const),
-  ),
-  pick: fc.nat(1000),
-  late: fc.boolean(),
-});
-type Action = typeof action extends fc.Arbitrary<infer A> ? A : never;
+const KINDS = [
+  ...(['see', 'see', 'see', 'read', 'grant', 'grant', 'move', 'move', 'move', 'claim', 'elect', 'forget'] as const),
+  ...(['flip', 'flip', 'fold', 'arrive', 'arrive', 'arrive', 'repeat', 'release', 'claimPaged'] as const),
+] as const;
+/** What happens while records become heads, and little else. */
+const FLIPPING = ['see', 'grant', 'flip', 'flip', 'flip', 'claimPaged', 'arrive', 'fold'] as const;
+type Kind = (typeof KINDS)[number];
+interface Action {
+  readonly kind: Kind;
+  readonly by: number;
+  readonly pick: number;
+  readonly late: boolean;
+}
+
+const actionsOf = (kinds: readonly Kind[]): fc.Arbitrary<Action[]> =>
+  fc.array(fc.record({ kind: fc.constantFrom(...kinds), by: fc.nat(2), pick: fc.nat(1000), late: fc.boolean() }), {
+    ...{ minLength: 60, maxLength: 200 },
+  });
+
+const roomOf = ({ pageBytes }: View): { recordMost: number; pageBytes: number } => ({ recordMost: 9, pageBytes });
 
 const lab = new Lab();
 const { at } = lab.state();
 const client = new StateClient(at, { rps: 1000, writeRps: 1000 }, lab.log, lab.process('10.0.0.1'));
 
+/** One process: it sees the store by a mirror of its own, in order and now and then ahead of it, under limits of its own. */
+class View {
+  readonly mirror: Mirror;
+  readonly directory: ShardDirectory;
+  private seen = 0;
+  seenUpTo = 0;
+  /** Writes of unknown outcome that it has yet to settle as the leader. */
+  unsettled: string[] = [];
+
+  constructor(
+    readonly node: string,
+    readonly pageBytes: number,
+    private readonly store: Store,
+  ) {
+    this.mirror = new Mirror(client, LIVE, lab.process(`10.0.1.${node.slice(2)}`), lab.log);
+    this.directory = new ShardDirectory(this.mirror);
+  }
+
+  take({ key, value, version }: Written): void {
+    this.mirror.apply({ key, value, removed: false, version: revision(version) });
+  }
+
+  /** The next revision of the watch, whole. */
+  see(): void {
+    const { log } = this.store;
+    const next = log[this.seen];
+    if (!next) return;
+    while (log[this.seen]?.version === next.version) this.take(log[this.seen++] as Written);
+    this.seenUpTo = next.version;
+  }
+
+  read(key: string): void {
+    const written = this.store.keys.get(key);
+    if (written) this.take(written);
+  }
+}
+
 /**
- * One process sees the store by its mirror, in order and now and then ahead of it, and does what leaders and holders do by
- * what it sees; any of its writes may arrive late. After each write no machine is in two blocks, and none that was in one
- * is in none but by a release.
+ * Three processes do what leaders, holders and claimants do, each by what it sees and by the project's own decisions; any
+ * of their writes may arrive late, again, or never. After each write no machine is in two blocks, and none that was in
+ * one is in none but by a release.
  */
 function play(actions: readonly Action[], rules: Rules): void {
   const store = new Store();
-  const mirror = new Mirror(client, LIVE, lab.process('10.0.0.2'), lab.log);
-  const directory = new ShardDirectory(mirror);
-  let seen = 0;
-  let seenUpTo = 0;
-  const take = ({ key, value, version }: Written): void =>
-    mirror.apply({ key, value, removed: false, version: revision(version) });
+  const views = PAGE_BYTES.map((bytes, i) => new View(`n-${i}`, bytes, store));
   const released = new Set<string>();
-  let pending: Pending[] = [];
-  let unsettled: string[] = [];
+  const pending: Pending[] = [];
   let lives = 0;
   const check = (before: Map<ShardName, string[]>): void => {
     const all = [...store.blocks().values()].flat();
     assert.equal(new Set(all).size, all.length, `in two blocks: ${all.join(' ')}`);
     for (const id of [...before.values()].flat()) assert.ok(all.includes(id) || released.has(id), `${id} is lost`);
   };
-  const write = ({ guards, ops }: Pending, late: boolean): boolean => {
-    const kept = guards.filter(
-      ({ key }) => (rules.pageGuards || !key.startsWith(PAGES)) && (rules.heads || !key.startsWith('live/shards/')),
-    );
+  const keeps = (key: string, purpose: Purpose): boolean => {
+    if (key.startsWith(PAGES)) return rules.pageGuards && (purpose !== 'flip' || rules.flipped);
+    if (!key.startsWith(SHARD_KEYS)) return true;
+    return rules.heads && (purpose !== 'stage' || rules.staged);
+  };
+  const arrive = ({ guards, ops }: Pending): boolean => {
+    const before = store.blocks();
+    const done = store.txn(guards, ops);
+    check(before);
+    return done;
+  };
+  const write = (view: View, { guards, ops, purpose = 'change' }: Pending, late: boolean): boolean => {
+    const kept = { guards: guards.filter(({ key }) => keeps(key, purpose)), ops };
     if (late) {
-      pending.push({ guards: kept, ops });
+      pending.push(kept);
       return false;
     }
-    const before = store.blocks();
-    const done = store.txn(kept, ops);
-    check(before);
-    // One's own write is known at once.
-    if (done) for (const op of ops) if ('put' in op) take(store.keys.get(op.put) as Written);
+    const done = arrive(kept);
+    // One's own write is known at once, and so is what refused it.
+    if (done) for (const op of ops) if ('put' in op) view.read(op.put);
+    if (!done) for (const { key } of guards) view.read(key);
     return done;
   };
-  for (const shard of SHARDS) {
+  const flip = (view: View, shard: ShardName, known: KnownShard, life: string, pick: number, late: boolean): void => {
+    const changes = stageChanges(shard, known, view.directory.pagesOf(shard), view.pageBytes) ?? [];
+    const lateOne = late ? pick % (changes.length + 1) : -1;
+    for (const [i, change] of changes.entries()) {
+      if (!write(view, { ...change, purpose: 'stage' }, i === lateOne)) return;
+    }
+    const there = [...view.directory.pagesOf(shard).values()].filter((page) => page !== null);
+    const guards = flipGuards(shard, known.version, there, MOST_CONDITIONS);
+    const value = encodeShard({ ...known.value, incarnation: incarnation(life), epoch: known.version });
+    const ops = [{ put: shardKey(shard), value }];
+    write(view, { guards, ops, purpose: 'flip' }, lateOne === changes.length);
+  };
+  for (const [i, shard] of SHARDS.entries()) {
     const made = { holder: nodeName(shard), incarnation: incarnation('a'), released: false, next: null, earlier: [] };
-    store.txn([], [{ put: shardKey(shard), value: encodeShard({ ...made, machines: [], epoch: null }) }]);
+    const machines = MACHINES.slice(2 * i, 2 * i + 2).map(machine);
+    store.txn([], [{ put: shardKey(shard), value: encodeShard({ ...made, machines, epoch: null }) }]);
   }
   store.txn([], [{ put: LEADER, value: { node: 'n-0' } }]);
 
-  for (const { kind, pick, late } of actions) {
+  for (const { kind, by, pick, late } of actions) {
+    const view = views[by % views.length] as View;
     const shard = SHARDS[pick % SHARDS.length] as ShardName;
     const other = SHARDS[(pick + 1) % SHARDS.length] as ShardName;
-    const known: KnownShard | undefined = directory.all.get(shard);
+    const known: KnownShard | undefined = view.directory.all.get(shard);
     if (kind === 'see') {
-      for (let n = 0; n <= pick % 3 && seen < store.log.length; n++) {
-        // A whole revision at a time, as a watch has it.
-        const { version } = store.log[seen] as Written;
-        while (store.log[seen]?.version === version) take(store.log[seen++] as Written);
-        seenUpTo = version;
-      }
+      for (let n = 0; n <= pick % 8; n++) view.see();
     } else if (kind === 'read') {
-      const written = [...store.keys.values()][pick % store.keys.size];
-      if (written) take(written);
+      view.read([...store.keys.keys()][pick % store.keys.size] ?? '');
     } else if (kind === 'arrive') {
       const [one] = pending.splice(pick % Math.max(1, pending.length), 1);
-      const before = store.blocks();
-      if (one) store.txn(one.guards, one.ops);
-      check(before);
+      if (one) arrive(one);
+    } else if (kind === 'repeat') {
+      const one = pending[pick % Math.max(1, pending.length)];
+      if (one) arrive(one);
+    } else if (kind === 'forget') {
+      pending.splice(pick % Math.max(1, pending.length), 1);
     } else if (kind === 'elect') {
-      store.txn([], [{ put: LEADER, value: { node: 'n-1', pick } }]);
+      store.txn([], [{ put: LEADER, value: { node: view.node } }]);
       // What the leader before has sent is void.
-      unsettled = [];
+      for (const one of views) one.unsettled = [];
     } else if (!known) continue;
     else if (kind === 'claim') {
       lives += 1;
       const value = encodeShard({ ...known.value, incarnation: incarnation(`b-${lives}`) });
-      write(
-        { guards: [{ key: shardKey(shard), version: known.version }], ops: [{ put: shardKey(shard), value }] },
-        late,
-      );
+      const guards = [{ key: shardKey(shard), version: known.version }];
+      write(view, { guards, ops: [{ put: shardKey(shard), value }] }, late);
     } else if (kind === 'release') {
       const first = known.value.machines[0];
       const [left] = first ? leave(shard, known, new Set([first.id])) : [];
       if (!first || !left) continue;
       released.add(first.id);
-      write(left.change, late);
+      write(view, left.change, late);
     } else if (kind === 'move') {
-      const target = directory.all.get(other);
+      const target = view.directory.all.get(other);
       const first = known.value.machines[pick % Math.max(1, known.value.machines.length)];
       const [left] = first ? leave(shard, known, new Set([first.id])) : [];
       if (!target || !first || !left) continue;
-      const entry = enter(other, target, [first], ROOM);
+      const entry = enter(other, target, [first], roomOf(view));
       if (entry.taken.length === 0) continue;
       const head = { key: shardKey(shard), version: known.version };
       const guards = [head, ...left.change.guards, ...entry.change.guards];
-      write({ guards, ops: [...left.change.ops, ...entry.change.ops] }, late);
+      write(view, { guards, ops: [...left.change.ops, ...entry.change.ops] }, late);
     } else if (kind === 'grant') {
       const leader = store.keys.get(LEADER) as Written;
-      const term = mirror.get(LEADER)?.version;
-      if (term !== leader.version) continue;
-      if (rules.settles) for (const key of unsettled.splice(0)) settle(store, key, take);
-      if (rules.settled && (directory.newest > seenUpTo || seenUpTo < term)) continue;
-      const free = MACHINES.find((id) => directory.shardOf(machineId(id)) === null);
-      const now = directory.all.get(shard);
+      const term = view.mirror.get(LEADER)?.version;
+      if (term !== leader.version || (leader.value as { node: string }).node !== view.node) continue;
+      if (rules.settles) for (const key of view.unsettled.splice(0)) settle(store, key, view);
+      if (rules.settled && (view.directory.newest > view.seenUpTo || view.seenUpTo < term)) continue;
+      const free = MACHINES.find((id) => view.directory.shardOf(machineId(id)) === null);
+      const now = view.directory.all.get(shard);
       if (free === undefined || !now) continue;
-      const { taken, change } = enter(shard, now, [machine(free)], ROOM);
+      const { taken, change } = enter(shard, now, [machine(free)], roomOf(view));
       if (taken.length === 0) continue;
       const guards = [...change.guards, { key: LEADER, version: term }];
-      for (const [name, { version }] of directory.all) {
+      for (const [name, { version }] of view.directory.all) {
         if (!guards.some(({ key }) => key === shardKey(name))) guards.push({ key: shardKey(name), version });
       }
       released.delete(free);
-      if (!write({ guards, ops: change.ops }, late)) {
-        for (const op of change.ops) if ('put' in op) unsettled.push(op.put);
-      }
-    } else if (kind === 'flip' && known.value.epoch === null) {
-      const epoch = known.version;
-      const pages = layOut(epoch, known.value.machines, PAGE_BYTES);
-      const there = directory.pagesOf(shard);
-      let staged = true;
-      for (const [n, machines] of pages.entries()) {
-        const key = pageKey(shard, n);
-        const page = there.get(key);
-        if (page?.epoch === epoch) continue;
-        const guards = [{ key, version: page?.version ?? 0 }];
-        staged = write({ guards, ops: [{ put: key, value: encodePage(epoch, machines) }] }, false) && staged;
+      if (!write(view, { guards, ops: change.ops }, late)) {
+        for (const op of change.ops) if ('put' in op) view.unsettled.push(op.put);
       }
-      const value = encodeShard({ ...known.value, epoch });
-      if (staged)
-        write({ guards: [{ key: shardKey(shard), version: epoch }], ops: [{ put: shardKey(shard), value }] }, late);
+    } else if ((kind === 'flip' || kind === 'claimPaged') && known.value.epoch === null) {
+      lives += kind === 'claimPaged' ? 1 : 0;
+      const life = kind === 'claimPaged' ? `b-${lives}` : known.value.incarnation;
+      flip(view, shard, known, life, pick, late);
     } else if (kind === 'fold' && known.value.epoch !== null) {
       const guards = foldGuards(shard, known);
       const value = encodeShard({ ...known.value, epoch: null });
-      write({ guards, ops: [{ put: shardKey(shard), value }] }, late);
+      write(view, { guards, ops: [{ put: shardKey(shard), value }] }, late);
     }
   }
-  pending = [];
 }
 
 /** A write of unknown outcome is made void, or is seen. */
-function settle(store: Store, key: string, take: (written: Written) => void): void {
+function settle(store: Store, key: string, view: View): void {
   const written = store.keys.get(key);
   store.txn([], [{ put: key, value: written?.value ?? encodePage(0, []) }]);
-  take(store.keys.get(key) as Written);
+  view.read(key);
 }
 
-const actions = fc.array(action, { minLength: 20, maxLength: 120 });
-const playAll = (rules: Rules): void => {
+const playAll = (rules: Rules, kinds: readonly Kind[] = KINDS): void => {
   fc.assert(
-    fc.property(actions, (list) => play(list, rules)),
-    { seed: 21, numRuns: 600 },
+    fc.property(actionsOf(kinds), (list) => play(list, rules)),
+    { seed: 21, numRuns: 2000 },
   );
 };
 
 test('no machine is in two blocks and none is lost, in records and pages, flipped, folded, claimed, with late writes', () => {
   playAll(ALL);
+  playAll(ALL, FLIPPING);
 });
 
-for (const left of ['settled', 'settles', 'pageGuards', 'heads'] as const) {
+for (const left of ['settled', 'settles', 'pageGuards', 'heads', 'staged', 'flipped'] as const) {
   test(`without "${left}" that is caught`, () => {
     assert.throws(
-      () => playAll({ ...ALL, [left]: false }),
+      () => playAll({ ...ALL, [left]: false }, left === 'flipped' ? FLIPPING : KINDS),
       (error: Error) => /in two blocks|is lost/.test(String(error.cause)),
     );
   });
--- /dev/null
+++ b/test/paging.test.ts
@@ -0,0 +1,142 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { incarnation, machineId, nodeName, shardName } from '../src/kernel/index.js';
+import {
+  encodeShard,
+  enter,
+  leave,
+  Paging,
+  ShardDirectory,
+  type BlockMachine,
+  type KnownShard,
+} from '../src/membership/index.js';
+import { LIVE, Mirror, pageKey, shardKey, StateClient, Urgency, type Op } from '../src/state/index.js';
+import type { StateModel } from '../packages/region/src/index.js';
+import { Lab } from '../packages/region/test/lab.js';
+
+const SHARD = shardName('n-0');
+const LATE = '10.0.0.2';
+const NEXT_LIMITS = { writeRps: 1000, valueKb: 2, txnOps: 5 };
+const ROOM = { recordMost: 600, pageBytes: 2048 };
+const machine = (n: number): BlockMachine => ({
+  ...{ id: machineId(`host-${String(n).padStart(6, '0')}`), type: 'desk', zone: 'north', spot: false },
+  address: `10.1.0.${n}:9000`,
+});
+
+/** A process that has read the state once, and whose watch tells it nothing after that. */
+class Unwatched {
+  readonly state: StateClient;
+  readonly mirror: Mirror;
+  readonly directory: ShardDirectory;
+  readonly paging: Paging;
+
+  constructor(
+    private readonly lab: Lab,
+    ip: string,
+    at: { readonly host: string; readonly port: number },
+    next = NEXT_LIMITS,
+  ) {
+    const process = lab.process(ip);
+    this.state = new StateClient(at, { rps: 1000, writeRps: 1000, next }, lab.log, process);
+    this.mirror = new Mirror(this.state, LIVE, process, lab.log);
+    this.directory = new ShardDirectory(this.mirror);
+    this.paging = new Paging({ state: this.state, mirror: this.mirror, directory: this.directory, log: lab.log });
+  }
+
+  load(): Promise<boolean> {
+    return this.lab.settle(this.mirror.load());
+  }
+
+  get known(): KnownShard {
+    const known = this.directory.all.get(SHARD);
+    assert.ok(known);
+    return known;
+  }
+
+  flip(): Promise<void> {
+    return this.lab.settle(this.paging.flip(SHARD, this.known));
+  }
+
+  async change(change: { readonly guards: readonly { key: string; version: number }[]; readonly ops: readonly Op[] }) {
+    const result = await this.lab.settle(this.state.txn(Urgency.shard, change.guards, change.ops));
+    assert.equal(result.kind, 'ok');
+    if (result.kind === 'ok') this.mirror.wrote(change.ops, result.revision);
+  }
+
+  admit(machines: readonly BlockMachine[]): Promise<void> {
+    return this.change(enter(SHARD, this.known, machines, ROOM).change);
+  }
+
+  async remove(id: string): Promise<void> {
+    for (const { change } of leave(SHARD, this.known, new Set([machineId(id)]))) await this.change(change);
+  }
+}
+
+interface Two {
+  readonly lab: Lab;
+  readonly holder: Unwatched;
+  readonly late: Unwatched;
+  readonly model: StateModel;
+  /** The machines of the shard as it is stored. */
+  stored(): Promise<string[]>;
+}
+
+/** A holder, and a process that has seen the shard's record before the holder changes it. */
+async function twoOver(machines: readonly BlockMachine[], lateLimits = NEXT_LIMITS): Promise<Two> {
+  const lab = new Lab();
+  const { model, at } = lab.state();
+  const made = { holder: nodeName('n-0'), incarnation: incarnation('a'), released: false, next: null, earlier: [] };
+  model.put(shardKey(SHARD), encodeShard({ ...made, machines, epoch: null }));
+  const holder = new Unwatched(lab, '10.0.0.1', at);
+  const late = new Unwatched(lab, LATE, at, lateLimits);
+  assert.ok((await holder.load()) && (await late.load()));
+  const stored = async (): Promise<string[]> => {
+    const reader = new Unwatched(lab, '10.0.0.3', at);
+    await reader.load();
+    return reader.known.value.machines.map(({ id }) => id as string).sort();
+  };
+  return { lab, holder, late, model, stored };
+}
+
+const ids = (...numbers: number[]): string[] => numbers.map((n) => machine(n).id as string);
+
+/** What a process does round after round that takes the shard for vacant, as it once saw it. */
+async function stageAgainAndAgain({ lab, late }: Two, seen: KnownShard): Promise<void> {
+  for (let round = 0; round < 4; round++) await lab.settle(late.paging.stage(SHARD, seen, Urgency.session));
+}
+
+test('a late process that stages pages for an older record takes no machine out of the block', async () => {
+  const two = await twoOver([machine(1), machine(2)]);
+  const seen = two.late.known;
+  await two.holder.admit([machine(3)]);
+  await two.holder.flip();
+  assert.deepEqual(await two.stored(), ids(1, 2, 3));
+  await stageAgainAndAgain(two, seen);
+  assert.deepEqual(await two.stored(), ids(1, 2, 3));
+});
+
+test('a late process that stages pages for the record that became the head changes nothing of them', async () => {
+  const two = await twoOver([machine(1), machine(2)]);
+  const seen = two.late.known;
+  await two.holder.flip();
+  await two.holder.remove('host-000001');
+  await two.holder.admit([machine(4)]);
+  await stageAgainAndAgain(two, seen);
+  assert.deepEqual(await two.stored(), ids(2, 4));
+});
+
+test('a record does not become the head of pages that another has laid out anew in the meantime', async () => {
+  const machines = Array.from({ length: 100 }, (_, i) => machine(i + 1));
+  const two = await twoOver(machines, { ...NEXT_LIMITS, valueKb: 0.25 });
+  const { lab, holder, late, model } = two;
+  assert.ok(await lab.settle(holder.paging.stage(SHARD, holder.known, Urgency.shard)));
+  // It stages its first pages, by a limit of its own, and ends in the middle.
+  model.spoils = ({ from, body }) =>
+    from === LATE && JSON.stringify(body ?? null).includes(pageKey(SHARD, 5)) ? 'lost-request' : null;
+  for (let round = 0; round < 2; round++) await lab.settle(late.paging.stage(SHARD, late.known, Urgency.shard));
+  await holder.flip();
+  assert.equal((await two.stored()).length, machines.length);
+  for (let round = 0; round < 4; round++) await holder.flip();
+  assert.notEqual(holder.known.value.epoch, null);
+  assert.equal((await two.stored()).length, machines.length);
+});
