Tell who leads in which term, what claims went by, and when the watch is behind

At debug each batch of starts and stops names claim, token, session, what the node may do as a holder, and what it had seen. `admin status`: watch, held, leading. No decision changes.

--- a/src/holder/holder.ts
+++ b/src/holder/holder.ts
@@ -167,6 +167,7 @@
       if (order.op === 'start') belief.noteStart(order.key, order.attempt);
       else machine.stopSentAt.set(order.key, now);
     }
+    this.tellOrders(machine, orders);
     const startsUse = (o: Order): boolean => {
       if (o.op !== 'start') return false;
       const gpus = this.deps.types().get(machine.info.type)?.gpus ?? 0;
@@ -177,6 +178,16 @@
     void commandSender.send(orders);
   }
 
+  /** Starts and stops, with what allows them: the claim, the token, and how much of the state service was seen. */
+  private tellOrders(machine: HeldMachine, orders: readonly Order[]): void {
+    const { deps, shard, claimedAt } = this;
+    if (orders.length === 0 || !deps.log.isLevelEnabled('debug')) return;
+    const named = orders.map(({ op, key, attempt }) => ({ op, key, attempt }));
+    const { token, session } = machine.belief;
+    const rights = { claimedAt, standing: deps.standing(), seenUpTo: deps.mirror.seenUpTo };
+    deps.log.debug({ shard, machine: machine.id, token, session, ...rights, orders: named }, 'orders go to a worker');
+  }
+
   /**
    * After a claim every old job waits for the last machine to acknowledge. When nearly all have, the few that
    * don't answer are dead rather than slow: losing them costs less than keeping everybody waiting.
--- a/src/leasing/leader.ts
+++ b/src/leasing/leader.ts
@@ -306,7 +306,7 @@
     const result = await state.txn(Urgency.shard, [...guards.values()], change.ops);
     const ids = taken.map((m) => m.id);
     if (result.kind === 'ok') {
-      log.info({ shard: to, machines: ids }, 'leased machines to a shard');
+      log.info({ shard: to, machines: ids, term, revision: result.revision }, 'leased machines to a shard');
       mirror.wrote(change.ops, result.revision);
       return ids;
     }
@@ -336,7 +336,7 @@
     if (lost.size === 0 || !this.deps.cloud.mayCall()) return;
     const ids = [...lost].slice(0, 50);
     if (!(await this.deps.cloud.giveBack(ids))) return;
-    this.deps.log.info({ machines: ids }, 'gave back machines that were lost or faulty');
+    this.deps.log.info({ machines: ids, term: this.term }, 'gave back machines that were lost or faulty');
     for (const id of ids) {
       this.bury(id);
       this.deps.trail?.note({ kind: 'returned', machine: id, why: 'lost or faulty' });
@@ -395,7 +395,7 @@
       if (known) known.doomed = true;
     }
     if (!(await this.deps.cloud.giveBack(batch))) return;
-    this.deps.log.info({ machines: batch }, 'gave machines back');
+    this.deps.log.info({ machines: batch, term: this.term }, 'gave machines back');
     for (const id of batch) {
       const why = this.releasing.has(id) ? 'idle' : 'in no block';
       this.bury(id);
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -19,6 +19,7 @@
   type Fields,
   type Mirror,
   type StateClient,
+  type TxnResult,
 } from '../state/index.js';
 import type { ShardDirectory } from './directory.js';
 import { Paging } from './paging.js';
@@ -61,6 +62,10 @@
   private readonly previous = new Map<ShardName, readonly PreviousHolder[]>();
   private vacantSince = new Map<ShardName, Millis>();
   private readonly leftAlone = new Set<ShardName>();
+  /** Versions of shards' records of which a refused claim has been told. */
+  private readonly refusedAt = new Map<ShardName, number>();
+  /** The leader's key while this node led when it last looked. */
+  private term: Revision | null = null;
   private provenAt: Millis;
   private readonly startedAt: Millis;
 
@@ -162,6 +167,7 @@
 
   /** One round: lead if nobody does. */
   async elect(): Promise<void> {
+    this.noteTerm();
     if (this.lease === undefined || this.nodeVersion === undefined) return;
     // Whoever can't read every block would lease a machine that is in one of them to another.
     if (this.directory.unreadable.size > 0 || !this.hooks.mayLead()) return this.standDown();
@@ -178,10 +184,20 @@
     );
     if (result.kind === 'ok') {
       this.mirror.apply({ key: LEADER, value, removed: false, version: result.revision });
-      this.log.info('this node leads: it leases machines and rents');
+      this.noteTerm();
     }
   }
 
+  /** Tells when this node begins to lead and when it ends, for whatever reason. */
+  private noteTerm(): void {
+    const { leading, term } = this;
+    if (leading === term) return;
+    this.term = leading;
+    const { seenUpTo } = this.mirror;
+    if (term !== null) this.log.info({ term, leader: this.leader, seenUpTo }, 'this node leads no more');
+    if (leading !== null) this.log.info({ term: leading, seenUpTo }, 'this node leads: it leases machines and rents');
+  }
+
   /** Leads no more; every write of the leader is guarded by the key that goes. */
   private async standDown(): Promise<void> {
     const { leading } = this;
@@ -189,7 +205,7 @@
     const result = await this.state.txn(Urgency.session, [{ key: LEADER, version: leading }], [{ remove: LEADER }]);
     if (result.kind !== 'ok') return;
     this.mirror.apply({ key: LEADER, value: undefined, removed: true, version: result.revision });
-    this.log.info('this node leads no more');
+    this.noteTerm();
   }
 
   /** One round: claim what is vacant, our own shard at once and others' after a pause by rank. */
@@ -285,14 +301,26 @@
     this.previous.set(shard, earlier);
     const result = await this.state.txn(Urgency.session, guards, [{ put: shardKey(shard), value: encodeShard(next) }]);
     if (result.kind !== 'ok') {
+      this.tellRefused(shard, version, result.kind);
       if (result.kind !== 'refused') await this.paging.reread(guards);
       return;
     }
     this.vacantSince.delete(shard);
-    this.log.info({ shard, from: holder, machines: next.machines.length }, 'claimed a shard');
+    const { epoch, machines } = next;
+    const why = value === null ? 'never held' : value.released ? 'released' : 'its holder is gone';
+    const { revision } = result;
+    const seen = { over: version, seenUpTo: this.mirror.seenUpTo };
+    this.log.info({ shard, from: holder, machines: machines.length, epoch, revision, ...seen, why }, 'claimed a shard');
     this.mirror.apply({ key: shardKey(shard), value: encodeShard(next), removed: false, version: result.revision });
   }
 
+  /** Once for each version of the record that a claim goes by: it is tried again every round. */
+  private tellRefused(shard: ShardName, over: number, why: TxnResult['kind']): void {
+    if (this.refusedAt.get(shard) === over) return;
+    this.refusedAt.set(shard, over);
+    this.log.info({ shard, over, seenUpTo: this.mirror.seenUpTo, why }, 'a claim of a shard was not made');
+  }
+
   /** Who held a shard before our latest claim and may still command. */
   previousOf(shard: ShardName): readonly PreviousHolder[] {
     return this.previous.get(shard) ?? [];
--- a/src/service/ownership.ts
+++ b/src/service/ownership.ts
@@ -218,6 +218,11 @@
       this.homeSince.delete(shard);
   }
 
+  /** Under which claim each shard is held here, and how many machines are missing from its block. */
+  get held(): { readonly shard: ShardName; readonly claimedAt: Revision; readonly missing: number }[] {
+    return [...this.holders].map(([shard, { claimedAt, members }]) => ({ shard, claimedAt, missing: members.missing }));
+  }
+
   /** Where teams with a limit start nothing, and how many tasks of jobs that nobody knows any more are why. */
   get heldBack(): { readonly shard: ShardName; readonly tasksOfUnknownJobs: number }[] {
     return [...this.holders.values()]
--- a/src/service/service.ts
+++ b/src/service/service.ts
@@ -291,12 +291,13 @@
     this.mirror.changes.subscribe((change) => this.onChange(change));
     this.peers.received.subscribe((received) => this.onPeer(received));
     this.peers.start();
-    const { incarnation: life, membership, state, settingsStore, steward, carrier, ownership, peers } = this;
+    const { incarnation: life, membership, state, mirror, settingsStore, steward, carrier, ownership, peers } = this;
     const seen = {
       node: settings.node,
       incarnation: life,
       membership,
       state,
+      mirror,
       settingsStore,
       steward,
       carrier,
--- a/src/service/status.ts
+++ b/src/service/status.ts
@@ -4,7 +4,7 @@
 import type { Membership } from '../membership/index.js';
 import type { PeerLink } from '../peers/index.js';
 import type { Steward } from '../pipelines/index.js';
-import type { StateClient } from '../state/index.js';
+import type { Mirror, StateClient } from '../state/index.js';
 import type { ShardOwnership } from './ownership.js';
 
 export interface StatusDeps {
@@ -12,6 +12,7 @@
   readonly incarnation: Incarnation;
   readonly membership: Membership;
   readonly state: StateClient;
+  readonly mirror: Mirror;
   readonly settingsStore: SettingsStore;
   readonly steward: Steward;
   readonly carrier: Carrier;
@@ -21,9 +22,10 @@
 
 /** What `admin status` shows of a node. */
 export function nodeStatus({ node, incarnation, membership, state, settingsStore, ...deps }: StatusDeps): unknown {
-  const { steward, carrier, ownership, peers } = deps;
+  const { mirror, steward, carrier, ownership, peers } = deps;
   return {
-    ...{ node, incarnation, leader: membership.leader, stateAvailable: state.available },
+    ...{ node, incarnation, leader: membership.leader, leading: membership.leading, stateAvailable: state.available },
+    ...{ watch: mirror.lag, held: ownership.held },
     settingsRevision: settingsStore.revision,
     stateLimits: { fallen: state.limits.fallen, writeRps: state.limits.writeRps },
     pipelines: steward.counts,
--- a/src/state/index.ts
+++ b/src/state/index.ts
@@ -5,3 +5,4 @@
 export type { Change, Entry, Guard, Op } from './wire.js';
 export * from './format.js';
 export * from './freshness.js';
+export * from './watch-lag.js';
--- a/src/state/mirror.ts
+++ b/src/state/mirror.ts
@@ -1,6 +1,7 @@
 import { Subject } from 'rxjs';
 import { revision, type Logger, type Revision, type Runtime } from '../kernel/index.js';
 import type { StateClient } from './client.js';
+import { WatchLag, type LagStatus } from './watch-lag.js';
 import type { Change, Entry, Op } from './wire.js';
 
 /** Every opened watch counts as a request: changes that follow each other closely share one. */
@@ -24,6 +25,7 @@
   private readonly touched = new Map<string, number>();
   private at: Revision | undefined;
   private stopped = false;
+  private readonly watchLag: WatchLag;
   private waiters: { readonly upTo: Revision; readonly resolve: (fresh: boolean) => void }[] = [];
 
   constructor(
@@ -31,7 +33,14 @@
     private readonly prefix: string,
     private readonly runtime: Runtime,
     private readonly log: Logger,
-  ) {}
+  ) {
+    this.watchLag = new WatchLag(log);
+  }
+
+  /** How far this view is behind what reads and writes of this node have told. */
+  get lag(): LagStatus {
+    return this.watchLag.status(this.runtime.now());
+  }
 
   get loaded(): boolean {
     return this.at !== undefined;
@@ -59,6 +68,7 @@
   /** Waits until the watch has shown everything up to a revision; false when that takes too long. */
   reach(upTo: Revision, withinMs: number): Promise<boolean> {
     if (this.at !== undefined && this.at >= upTo) return Promise.resolve(true);
+    this.watchLag.note(upTo, this.runtime.now());
     return new Promise((resolve) => {
       const waiter = {
         upTo,
@@ -77,7 +87,9 @@
 
   private arrive(): void {
     const { at } = this;
-    if (at === undefined || this.waiters.length === 0) return;
+    if (at === undefined) return;
+    this.watchLag.shown(at, this.runtime.now());
+    if (this.waiters.length === 0) return;
     const there = this.waiters.filter((w) => w.upTo <= at);
     if (there.length === 0) return;
     this.waiters = this.waiters.filter((w) => w.upTo > at);
@@ -117,7 +129,9 @@
    * and would bring back a job that users have been told is over.
    */
   apply(change: Change): void {
-    if (this.at === undefined || change.version > this.at) this.take(change);
+    if (this.at !== undefined && change.version <= this.at) return;
+    this.watchLag.note(change.version, this.runtime.now());
+    this.take(change);
   }
 
   private take(change: Change): void {
