Count the tasks of machines that leave before they are released; test the watch's lag

Cause: the line about machines that have left a block was made after their tasks had been released, so it always said 0 tasks. A claim that is a flip put its conditions together by replacing one in a list.

Change: tasks are counted at the change; a claim's conditions are chosen in one place. WatchLag has a test.

--- a/src/holder/members.ts
+++ b/src/holder/members.ts
@@ -33,6 +33,14 @@
   readonly revision: Revision;
 }
 
+/** A machine, and how many tasks of the shard may have been there at a change. */
+interface Counted {
+  readonly id: MachineId;
+  readonly tasks: number;
+}
+
+const counted = ({ id, active }: HeldMachine): Counted => ({ id, tasks: active.size });
+
 export interface MemberHooks {
   /** A machine has come into the block; what is commanded there must be newer than this revision. */
   make(info: BlockMachine, base: Revision): HeldMachine;
@@ -76,26 +84,26 @@
     const wanted = new Set(value.machines.map(({ id }) => id));
     const { joined, back } = this.admit(value.machines, source.revision);
     const { left, gone } = this.dismiss(wanted);
-    this.tell('machines have joined the block', joined, source);
-    this.tell('machines that were missing are back in the block', back, source);
-    for (const [proof, machines] of left) this.tell('machines have left the block', machines, source, proof);
+    this.tell(source, joined, 'machines have joined the block');
+    this.tell(source, back, 'machines that were missing are back in the block');
+    for (const [why, machines] of left) this.tell({ ...source, why }, machines, 'machines have left the block');
     this.tell(
-      'machines are missing from the block: what may run there counts until their leases are over',
-      gone,
       source,
+      gone,
+      'machines are missing from the block: what may run there counts until their leases are over',
     );
   }
 
   private admit(
     infos: readonly BlockMachine[],
     revision: Revision,
-  ): { readonly joined: HeldMachine[]; readonly back: HeldMachine[] } {
-    const joined: HeldMachine[] = [];
-    const back: HeldMachine[] = [];
+  ): { readonly joined: Counted[]; readonly back: Counted[] } {
+    const joined: Counted[] = [];
+    const back: Counted[] = [];
     for (const info of infos) {
       const machine = this.machines.get(info.id);
-      if (!machine) joined.push(this.join(info, revision));
-      else if (machine.missing) back.push(this.rejoin(machine, revision));
+      if (!machine) joined.push(counted(this.join(info, revision)));
+      else if (machine.missing) back.push(counted(this.rejoin(machine, revision)));
     }
     return { joined, back };
   }
@@ -117,21 +125,22 @@
   }
 
   private dismiss(wanted: ReadonlySet<MachineId>): {
-    readonly left: ReadonlyMap<DepartureProof, HeldMachine[]>;
-    readonly gone: HeldMachine[];
+    readonly left: ReadonlyMap<DepartureProof, Counted[]>;
+    readonly gone: Counted[];
   } {
     const now = this.deps.runtime.now();
-    const left = new Map<DepartureProof, HeldMachine[]>();
-    const gone: HeldMachine[] = [];
+    const left = new Map<DepartureProof, Counted[]>();
+    const gone: Counted[] = [];
     for (const [id, machine] of this.machines) {
       if (wanted.has(id) || machine.missing) continue;
       const proof = departureProof(machine, this.hooks.isKnown(machine), now);
+      const departed = counted(machine);
       if (proof === null) {
         this.miss(machine);
-        gone.push(machine);
+        gone.push(departed);
         continue;
       }
-      left.set(proof, [...(left.get(proof) ?? []), machine]);
+      left.set(proof, [...(left.get(proof) ?? []), departed]);
       this.drop(machine, 'machine gone');
     }
     return { left, gone };
@@ -157,11 +166,15 @@
     this.machines.delete(machine.id);
   }
 
-  private tell(what: string, machines: readonly HeldMachine[], source: BlockSource, why?: DepartureProof): void {
+  private tell(
+    source: BlockSource & { readonly why?: DepartureProof },
+    machines: readonly Counted[],
+    what: string,
+  ): void {
     if (machines.length === 0) return;
     const named = machines.slice(0, NAMED_IN_LOG).map(({ id }) => id);
-    const tasks = machines.reduce((sum, { active }) => sum + active.size, 0);
+    const tasks = machines.reduce((sum, machine) => sum + machine.tasks, 0);
     const { shard } = this;
-    this.deps.log.info({ shard, ...source, machines: named, count: machines.length, tasks, why }, what);
+    this.deps.log.info({ shard, ...source, machines: named, count: machines.length, tasks }, what);
   }
 }
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -280,12 +280,13 @@
     const earlier = earlierHolders(value, this.self);
     const known = this.directory.all.get(shard);
     const paged = this.hooks.paged();
-    const guards = [...nodes, { key: shardKey(shard), version }];
+    const flips = paged && value?.epoch === null && known !== undefined;
     // One large value may be more than the state service takes any more: its machines go into pages first.
-    if (paged && value?.epoch === null && known) {
-      if (!(await this.paging.stage(shard, known, Urgency.session))) return;
-      guards.splice(nodes.length, 1, ...this.paging.flipGuards(shard, known.version, nodes.length));
-    }
+    if (flips && !(await this.paging.stage(shard, known, Urgency.session))) return;
+    const record = flips
+      ? this.paging.flipGuards(shard, known.version, nodes.length)
+      : [{ key: shardKey(shard), version }];
+    const guards = [...nodes, ...record];
     const next: ShardValue = {
       epoch: value?.epoch ?? (paged ? version : null),
       holder: this.self,
--- a/test/mirror.test.ts
+++ b/test/mirror.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { revision, type Revision } from '../src/kernel/index.js';
-import { Mirror, type Change } from '../src/state/index.js';
+import { millis, revision, type Logger, type Revision } from '../src/kernel/index.js';
+import { Mirror, WatchLag, type Change } from '../src/state/index.js';
 import { Lab } from '../packages/region/test/lab.js';
 
 const KEYS = ['live/jobs/a', 'live/jobs/b'];
@@ -121,3 +121,24 @@
   assert.deepEqual(changes, [], 'and no holder hears of it');
   mirror.stop();
 });
+
+test('a watch that is behind what reads and writes have told is told of once, and so is that it goes on', () => {
+  const lines: string[] = [];
+  const note = (_fields: unknown, text: string): void => void lines.push(text);
+  const lag = new WatchLag({ info: note, warn: note } as unknown as Logger);
+  lag.shown(revision(10), millis(0));
+  lag.note(revision(10), millis(0));
+  lag.note(revision(12), millis(100));
+  lag.note(revision(15), millis(2000));
+  assert.deepEqual(lag.status(millis(2000)), { seenUpTo: 10, newest: 15, behindMs: 1900 });
+  assert.deepEqual(lines, []);
+  lag.note(revision(16), millis(2700));
+  lag.note(revision(17), millis(2800));
+  assert.equal(lines.length, 1);
+  lag.shown(revision(14), millis(3000));
+  // It has shown what it owed first, and owes what came since.
+  assert.deepEqual(lag.status(millis(3100)), { seenUpTo: 14, newest: 17, behindMs: 100 });
+  lag.shown(revision(17), millis(3200));
+  assert.equal(lag.status(millis(9000)).behindMs, 0);
+  assert.equal(lines.length, 2);
+});
