Play the last landing and production beside guarded pages, both orders and back

Cause: a controller of an earlier release that is behind still writes over pages that a head names; nothing showed what this release makes of it.

--- a/packages/region/test/blocks.test.ts
+++ b/packages/region/test/blocks.test.ts
@@ -3,9 +3,12 @@
 import { decodeShard, encodeShard } from '../../../src/membership/index.js';
 import { shardKey } from '../../../src/state/index.js';
 import { shardName } from '../../../src/kernel/index.js';
-import { Region, type Day, type DayResult } from '../src/index.js';
+import { Region, type Day, type DayResult, type Trouble } from '../src/index.js';
 import { shippedDay } from './days.js';
 
+/** The release before pages were guarded by their record. */
+const LAST = 'before-blocks';
+
 interface Played {
   readonly result: DayResult;
   /** How many lines of the controllers' logs hold a text. */
@@ -59,3 +62,34 @@
     assert.ok(said('are missing from the block') > 0 && said('are back in the block') > 0);
   }
 });
+
+/** The controllers begin as these releases. */
+const begunAs = (day: Day, releases: readonly string[]): Day => ({
+  ...day,
+  controllers: { ...day.controllers, releases: [...releases] },
+});
+
+test('a late controller of the last landing stages over pages: their machines are missing, and no task runs twice', async () => {
+  for (const seed of [3, 4]) {
+    const day = begunAs({ ...shippedDay('limits'), seed }, ['this', LAST, 'this']);
+    const { result, said } = await playedWith(day);
+    assert.deepEqual([rulesOf(result), result.defects], [[], []], `seed ${seed}`);
+    assert.ok(said('are missing from the block') > 0);
+  }
+});
+
+const roll = (to: string, at_s: number): Trouble => ({ kind: 'rollout', at_s, gap_s: 6, to, leave: false });
+
+test('limits that fall after a roll from the last landing or production to this one, and on the way back', async () => {
+  const { troubles, ...limits } = shippedDay('limits');
+  for (const [old, back] of [
+    [LAST, true],
+    ['production', false],
+  ] as const) {
+    const rolls = [roll('this', 14), ...(back ? [roll(old, 80)] : [])];
+    const day = begunAs({ ...limits, troubles: [...rolls, ...troubles] }, [old, old, old]);
+    const { result } = await playedWith(day);
+    assert.deepEqual([rulesOf(result), result.defects], [[], []], old);
+    assert.ok(result.classes.some(({ tasksStarted }) => tasksStarted > 100));
+  }
+});
