--- a/packages/region/src/cli/command.ts
+++ b/packages/region/src/cli/command.ts
@@ -149,6 +149,7 @@
   readonly minutes: number;
   readonly seed: number;
   readonly out: string;
+  readonly keep?: true;
   readonly mixed?: string;
 }
 
@@ -162,6 +163,7 @@
     goOn: () => performance.now() < until,
     told: (line) => process.stderr.write(`${line}\n`),
     releases: known,
+    keep: flags.keep === true,
     ...(flags.mixed === undefined ? {} : { mixed: flags.mixed }),
   });
   if (!found) {
@@ -214,6 +216,7 @@
   .option('--minutes <n>', 'for how long', positiveNumber, 5)
   .option('--seed <n>', 'of the first schedule', wholeNumber, 1)
   .option('--out <dir>', 'where the shrunk day goes', 'region-found')
+  .option('--keep', "the day's own troubles stay, beside those that are drawn")
   .option('--mixed <release>', 'controllers of that earlier release and of this one, replaced by one another')
   .action((day: string, flags: HuntFlags) => huntFor(day, flags));
 
--- a/packages/region/src/hunt/hunt.ts
+++ b/packages/region/src/hunt/hunt.ts
@@ -140,6 +140,8 @@
   readonly seed: number;
   readonly goOn: () => boolean;
   readonly told: (line: string) => void;
+  /** The day's own troubles stay, beside those that are drawn. */
+  readonly keep?: boolean;
   /** Controllers of this earlier release take part. */
   readonly mixed?: string;
   readonly releases?: Releases;
@@ -152,10 +154,12 @@
 /** Plays schedule after schedule; null when the time is over and no rule was broken. */
 export async function hunt(
   day: Day,
-  { seed, goOn, told, mixed, releases }: HuntOptions,
+  { seed, goOn, told, keep, mixed, releases }: HuntOptions,
 ): Promise<{ readonly day: Day; readonly first: DayResult } | null> {
   for (let at = seed; goOn(); at++) {
-    const drawn = withTroubles(day, drawSchedule(at, day), at);
+    const own = keep === true ? day.troubles : [];
+    const schedule = [...own, ...drawSchedule(at, day)].sort((a, b) => a.at_s - b.at_s);
+    const drawn = withTroubles(day, schedule, at);
     const whole = mixed === undefined ? drawn : mixReleases(at, drawn, mixed);
     const { troubles } = whole;
     const first = await playOnce(whole, releases);
