--- a/packages/region/src/models/state.ts
+++ b/packages/region/src/models/state.ts
@@ -135,15 +135,18 @@
 
   /** One node alone gets 503; its watches wait and its leases run out. */
   refuse(ip: string, on: boolean): void {
-    if (on) this.refused.add(ip);
-    else this.refused.delete(ip);
-    if (!on) this.wake();
+    this.mark(this.refused, ip, on);
   }
 
   /** One node's watches, open and new ones, tell nothing, while everything else that it asks is answered. */
   holdWatches(ip: string, on: boolean): void {
-    if (on) this.unwatched.add(ip);
-    else this.unwatched.delete(ip);
+    this.mark(this.unwatched, ip, on);
+  }
+
+  /** Watches that have waited for a node's mark to go look again. */
+  private mark(nodes: Set<string>, ip: string, on: boolean): void {
+    if (on) nodes.add(ip);
+    else nodes.delete(ip);
     if (!on) this.wake();
   }
 
--- a/packages/region/src/troubles.ts
+++ b/packages/region/src/troubles.ts
@@ -139,6 +139,17 @@
     network.cut(cut);
     after(seconds, () => network.heal(cut));
   };
+  /** The state service does something to controllers alone, until the trouble is over. */
+  const stateTreats = (
+    { controller, for_s }: Of<'controller_refused' | 'watch_held'>,
+    treat: (ip: string, on: boolean) => void,
+  ): void => {
+    const chosen = controllersOf(region, controller).map(({ host }) => host.ip);
+    for (const ip of chosen) treat(ip, true);
+    after(for_s, () => {
+      for (const ip of chosen) treat(ip, false);
+    });
+  };
   const workersOf = (chosen: readonly Machine[]) =>
     chosen.flatMap((machine) => {
       const held = parts.workers.get(machine.id);
@@ -208,22 +219,12 @@
       cutFor(trouble.for_s, trouble.manner, (a, b) => hosts.has(a) && !hosts.has(b) && side(b));
       break;
     }
-    case 'controller_refused': {
-      const chosen = controllersOf(region, trouble.controller).map(({ host }) => host.ip);
-      for (const ip of chosen) parts.state.refuse(ip, true);
-      after(trouble.for_s, () => {
-        for (const ip of chosen) parts.state.refuse(ip, false);
-      });
+    case 'controller_refused':
+      stateTreats(trouble, (ip, on) => parts.state.refuse(ip, on));
       break;
-    }
-    case 'watch_held': {
-      const chosen = controllersOf(region, trouble.controller).map(({ host }) => host.ip);
-      for (const ip of chosen) parts.state.holdWatches(ip, true);
-      after(trouble.for_s, () => {
-        for (const ip of chosen) parts.state.holdWatches(ip, false);
-      });
+    case 'watch_held':
+      stateTreats(trouble, (ip, on) => parts.state.holdWatches(ip, on));
       break;
-    }
     case 'rolling_restart':
       for (const [i, controller] of region.controllers.entries())
         world.plan(world.now + i * trouble.gap_s * 1000, () => region.crash(controller, day.controllers.restart_s));
--- a/packages/region/test/blocks.test.ts
+++ b/packages/region/test/blocks.test.ts
@@ -3,8 +3,8 @@
 import { decodeShard, encodeShard } from '../../../src/membership/index.js';
 import { shardKey } from '../../../src/state/index.js';
 import { shardName } from '../../../src/kernel/index.js';
-import { Region, type Day, type DayResult, type Trouble } from '../src/index.js';
-import { shippedDay } from './days.js';
+import type { Day, DayResult, Region, Trouble } from '../src/index.js';
+import { playedThrough, shippedDay, type Act } from './days.js';
 
 /** The release before pages were guarded by their record. */
 const LAST = 'before-blocks';
@@ -15,16 +15,12 @@
   readonly said: (text: string) => number;
 }
 
-async function playedWith(day: Day, acts: readonly (readonly [atS: number, (region: Region) => void])[] = []) {
+async function playedWith(day: Day, acts: readonly Act[] = []): Promise<Played> {
   const logs: string[] = [];
-  const region = new Region({ day, controllerLog: { level: 'info', write: (line) => logs.push(line) } });
-  for (const [atS, act] of acts) {
-    await region.play(atS);
-    act(region);
-  }
-  await region.play();
+  const controllerLog = { level: 'info', write: (line: string) => logs.push(line) };
+  const region = await playedThrough({ day, controllerLog }, acts);
   const said = (text: string): number => logs.filter((line) => line.includes(text)).length;
-  return { result: region.close(), said } satisfies Played;
+  return { result: region.close(), said };
 }
 
 const rulesOf = ({ breaches }: DayResult): string[] => [...new Set(breaches.map(({ rule }) => rule))];
--- a/packages/region/test/days.ts
+++ b/packages/region/test/days.ts
@@ -44,3 +44,17 @@
   await region.play();
   return region.close();
 }
+
+/** What somebody does at a moment of a day, in seconds. */
+export type Act = readonly [atS: number, act: (region: Region) => void];
+
+/** Plays a day to its end, with what is done at moments of it; the region is still open. */
+export async function playedThrough(options: RegionOptions, acts: readonly Act[] = []): Promise<Region> {
+  const region = new Region(options);
+  for (const [atS, act] of acts) {
+    await region.play(atS);
+    act(region);
+  }
+  await region.play();
+  return region;
+}
--- a/packages/region/test/pipelines.test.ts
+++ b/packages/region/test/pipelines.test.ts
@@ -3,7 +3,7 @@
 import fc from 'fast-check';
 import { drawSchedule, mixReleases } from '../src/hunt/index.js';
 import { Region, type Day, type DayResult, type Trouble } from '../src/index.js';
-import { shippedDay } from './days.js';
+import { playedThrough, shippedDay } from './days.js';
 
 const SHARDS = ['node-0', 'node-1', 'node-2'].map((name) => `live/shards/${name}`);
 const LIMITS: Trouble = { kind: 'state_limits', at_s: 45 };
@@ -38,12 +38,8 @@
   acts: readonly (readonly [number, (region: Region) => void])[] = [],
 ): Promise<PlayedDay> {
   const logs: string[] = [];
-  const region = new Region({ day, controllerLog: { level: 'info', write: (line) => logs.push(line) } });
-  for (const [atS, act] of acts) {
-    await region.play(atS);
-    act(region);
-  }
-  await region.play();
+  const controllerLog = { level: 'info', write: (line: string) => logs.push(line) };
+  const region = await playedThrough({ day, controllerLog }, acts);
   const stored = SHARDS.map((key) => region.parts.state.get(key) as { readonly v?: number });
   const result = region.close();
   assert.deepEqual([result.breaches, result.defects], [[], []]);
--- a/packages/region/test/quota.test.ts
+++ b/packages/region/test/quota.test.ts
@@ -4,7 +4,7 @@
 import { decodeShard } from '../../../src/membership/index.js';
 import { shardName } from '../../../src/kernel/index.js';
 import { Region, scaledDay, type Day, type Trouble } from '../src/index.js';
-import { shippedDay, shortDay } from './days.js';
+import { playedThrough, shippedDay, shortDay } from './days.js';
 
 const FEATURE = 'quota-shares';
 const WISHES = 'live/rollout/wishes';
@@ -46,12 +46,7 @@
   day: Day,
   acts: readonly (readonly [atS: number, act: (region: Region) => void])[],
 ): Promise<{ region: Region; result: ReturnType<Region['close']> }> {
-  const region = new Region({ day });
-  for (const [atS, act] of acts) {
-    await region.play(atS);
-    act(region);
-  }
-  await region.play();
+  const region = await playedThrough({ day }, acts);
   const result = region.close();
   assert.deepEqual([result.breaches, result.defects, result.failures], [[], [], []]);
   assert.ok(result.classes.some(({ tasksStarted }) => tasksStarted > 20));
--- a/packages/region/test/rollout.test.ts
+++ b/packages/region/test/rollout.test.ts
@@ -6,7 +6,7 @@
 import fc from 'fast-check';
 import { drawSchedule, mixReleases } from '../src/hunt/index.js';
 import { Region, ReleaseError, Releases, type Day, type DayResult, type Trouble } from '../src/index.js';
-import { played, shortDay } from './days.js';
+import { playedThrough, played, shortDay } from './days.js';
 
 /** What operators ran before controllers of several releases could work together: every release must run beside it. */
 const OLD = 'before-rollout';
@@ -28,16 +28,12 @@
 async function mixed(day: Day, releases: readonly string[], { acts = [] }: MixedOptions = {}): Promise<MixedDay> {
   const events: string[] = [];
   const logs: string[] = [];
-  const region = new Region({
+  const options = {
     day: { ...day, controllers: { ...day.controllers, releases: [...releases] } },
-    event: (line) => events.push(line),
-    controllerLog: { level: 'info', write: (line) => logs.push(line) },
-  });
-  for (const [atS, act] of acts) {
-    await region.play(atS);
-    act(region);
-  }
-  await region.play();
+    event: (line: string) => events.push(line),
+    controllerLog: { level: 'info', write: (line: string) => logs.push(line) },
+  };
+  const region = await playedThrough(options, acts);
   const state = Object.fromEntries(WATCHED.map((key) => [key, region.parts.state.get(key)]));
   const result = region.close();
   assert.deepEqual([result.breaches, result.defects], [[], []]);
