Count missing machines where they are asked for

Cause: members.ts kept a counter beside the flag of each machine that it counts, and copied a list for each machine of a wave that left.

Change: the number is derived; lists grow in place; what only this file uses is not exported. Behaviour as before.

--- a/src/holder/members.ts
+++ b/src/holder/members.ts
@@ -11,13 +11,13 @@
 const NAMED_IN_LOG = 20;
 
 /** How it is known that nothing of this shard runs on a machine that is not in the block any more. */
-export type DepartureProof = 'nothing is there' | 'given up and deleted';
+type DepartureProof = 'nothing is there' | 'given up and deleted';
 
 /**
  * null: something may run there. Not to be in the block proves nothing: whoever wrote the block may have seen an older one.
  * `known`: what an earlier holder had there is known.
  */
-export function departureProof(machine: HeldMachine, known: boolean, now: Millis): DepartureProof | null {
+function departureProof(machine: HeldMachine, known: boolean, now: Millis): DepartureProof | null {
   if (known && machine.belief.empty) return 'nothing is there';
   const { givenUpAt } = machine;
   return givenUpAt !== null && now - givenUpAt < GIVEN_UP_FOR_MS ? 'given up and deleted' : null;
@@ -54,7 +54,6 @@
 export class BlockMembers {
   /** Those of the block, and those missing from it on which something of this shard may run. */
   readonly machines = new Map<MachineId, HeldMachine>();
-  private missingCount = 0;
 
   constructor(
     private readonly shard: ShardName,
@@ -71,7 +70,9 @@
 
   /** How many machines are not in the block while something of this shard may run on them. */
   get missing(): number {
-    return this.missingCount;
+    let missing = 0;
+    for (const machine of this.machines.values()) if (machine.missing) missing += 1;
+    return missing;
   }
 
   /** The block at the claim. */
@@ -119,7 +120,6 @@
 
   private rejoin(machine: HeldMachine, revision: Revision): HeldMachine {
     machine.missing = false;
-    this.missingCount -= 1;
     machine.belief.rebase(revision);
     return machine;
   }
@@ -136,25 +136,21 @@
       const proof = departureProof(machine, this.hooks.isKnown(machine), now);
       const departed = counted(machine);
       if (proof === null) {
-        this.miss(machine);
+        machine.missing = true;
+        machine.leaving = null;
         gone.push(departed);
         continue;
       }
-      left.set(proof, [...(left.get(proof) ?? []), departed]);
+      const list = left.get(proof);
+      if (list) list.push(departed);
+      else left.set(proof, [departed]);
       this.drop(machine, 'machine gone');
     }
     return { left, gone };
   }
 
-  private miss(machine: HeldMachine): void {
-    machine.missing = true;
-    machine.leaving = null;
-    this.missingCount += 1;
-  }
-
   /** The lease of a missing machine is over: nothing runs there any more. */
   expire(machine: HeldMachine): void {
-    this.missingCount -= 1;
     this.deps.log.info({ shard: this.shard, machine: machine.id }, 'the lease of a missing machine is over');
     this.drop(machine, 'lease over');
   }
--- a/src/holder/moves.ts
+++ b/src/holder/moves.ts
@@ -164,11 +164,15 @@
 
   /** May the shard change hands without anybody noticing: everything in it is known and heard? */
   get quiet(): boolean {
-    if (!this.held.fenced || this.held.members.missing > 0) return false;
+    if (!this.held.fenced) return false;
     const now = this.held.deps.runtime.now();
     for (const machine of this.held.machines.values()) {
       if (!machine.belief.fenced || !machine.commandSender.idle || machine.belief.pendingStarts.size > 0) return false;
-      if (machine.leaving || now - machine.belief.lastHeardAt > 2 * this.held.deps.settings.workers.reportMs)
+      if (
+        machine.missing ||
+        machine.leaving ||
+        now - machine.belief.lastHeardAt > 2 * this.held.deps.settings.workers.reportMs
+      )
         return false;
     }
     return true;
