Read a key again and take it into the mirror in one place

Cause: the same read and apply stood in nine places, and claims called it by way of Paging, which has nothing to do with claims.

Change: reread and rereadGuards in src/state; seal, settle, paging, claims, shares, leader, holder, progress groups and ownership call them. Behaviour as before: those that read one after the other still do.

--- a/src/holder/grouping.ts
+++ b/src/holder/grouping.ts
@@ -1,6 +1,6 @@
 import { encodeGrouped, groupedBytes, writerOf } from '../jobs/index.js';
 import { millis, type Bits, type JobId, type Millis } from '../kernel/index.js';
-import { progressKey, Urgency, type Change, type Guard } from '../state/index.js';
+import { progressKey, reread, Urgency, type Change, type Guard } from '../state/index.js';
 import type { HeldShard } from './held.js';
 import { recall } from './recall.js';
 import type { JobRun } from './run.js';
@@ -124,18 +124,10 @@
         return true;
       }
       // Another's write, or our own of unknown outcome: the next one is guarded by what is there now.
-      if (result.kind !== 'refused') await this.reread();
+      if (result.kind !== 'refused') await reread(state, mirror, this.key);
       return false;
     } finally {
       this.writing = false;
     }
   }
-
-  private async reread(): Promise<void> {
-    const { state, mirror } = this.held.deps;
-    const read = await state.get(this.key);
-    if (read.kind !== 'found') return;
-    const { key, value, version } = read.entry;
-    mirror.apply({ key, value, removed: false, version });
-  }
 }
--- a/src/holder/held.ts
+++ b/src/holder/held.ts
@@ -13,7 +13,7 @@
   type ShardName,
 } from '../kernel/index.js';
 import type { BlockMachine, PreviousHolder, ShardValue } from '../membership/index.js';
-import { jobKey, JOBS, progressKey, shardKey, type Change } from '../state/index.js';
+import { jobKey, JOBS, progressKey, reread, shardKey, type Change } from '../state/index.js';
 import { TaskIndex, encodeRedirect, encodeReply, type ListedTask, type WorkerMessage } from '../workers/index.js';
 import { bookingOf, type Booking } from './booking.js';
 import { takeExit } from './exits.js';
@@ -252,15 +252,7 @@
       { shard: this.shard, machine: machine.id },
       'a worker has seen a higher token: another holder is at work',
     );
-    void this.deps.state.get(shardKey(this.shard)).then((read) => {
-      if (read.kind !== 'found') return;
-      this.deps.mirror.apply({
-        key: read.entry.key,
-        value: read.entry.value,
-        removed: false,
-        version: read.entry.version,
-      });
-    });
+    void reread(this.deps.state, this.deps.mirror, shardKey(this.shard));
   }
 
   onReport(message: WorkerMessage): ReportReply {
--- a/src/holder/store.ts
+++ b/src/holder/store.ts
@@ -2,7 +2,7 @@
 import type { HeldShard } from './held.js';
 import { decodeRecord, encodeRecord } from '../jobs/index.js';
 import { millis, type Millis } from '../kernel/index.js';
-import { Urgency, jobKey } from '../state/index.js';
+import { Urgency, jobKey, reread } from '../state/index.js';
 import type { JobRun } from './run.js';
 
 const PROGRESS_EVERY_MS = 1500;
@@ -90,9 +90,8 @@
   /** Somebody else wrote, or a write of unknown outcome was applied: what is stored decides. */
   async reread(run: JobRun): Promise<void> {
     const key = jobKey(run.id);
-    const read = await this.held.deps.state.get(key);
+    const read = await reread(this.held.deps.state, this.held.deps.mirror, key);
     if (read.kind === 'found') {
-      this.held.deps.mirror.apply({ key, value: read.entry.value, removed: false, version: read.entry.version });
       const record = decodeRecord(read.entry.value);
       if (record && !run.ended && record.shard === this.held.shard) {
         run.version = read.entry.version;
--- a/src/leasing/leader.ts
+++ b/src/leasing/leader.ts
@@ -24,7 +24,17 @@
 import type { PeerMessage, ShardSummary } from '../peers/index.js';
 import type { Coming } from '../pipelines/index.js';
 import type { Trail } from '../trail/index.js';
-import { jobKey, JOBS, LEADER, PAGES, shardKey, Urgency, type Mirror, type StateClient } from '../state/index.js';
+import {
+  jobKey,
+  JOBS,
+  LEADER,
+  PAGES,
+  reread,
+  shardKey,
+  Urgency,
+  type Mirror,
+  type StateClient,
+} from '../state/index.js';
 import type { WorkerMessage } from '../workers/index.js';
 import { inCalls, kindKey, LEASE_POLICY, planLeases, type LooseMachine, type RentWish } from './plan.js';
 
@@ -364,11 +374,7 @@
           mirror.wrote(ops, result.revision);
           continue;
         }
-        for (const { key } of batch.flatMap((change) => change.guards)) {
-          const read = await state.get(key);
-          if (read.kind === 'found')
-            mirror.apply({ key, value: read.entry.value, removed: false, version: read.entry.version });
-        }
+        for (const { key } of batch.flatMap((change) => change.guards)) await reread(state, mirror, key);
       }
     }
   }
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -14,6 +14,7 @@
   formatOf,
   LEADER,
   nodeKey,
+  rereadGuards,
   shardKey,
   Urgency,
   type Fields,
@@ -303,7 +304,7 @@
     const result = await this.state.txn(Urgency.session, guards, [{ put: shardKey(shard), value: encodeShard(next) }]);
     if (result.kind !== 'ok') {
       this.tellRefused(shard, version, result.kind);
-      if (result.kind !== 'refused') await this.paging.reread(guards);
+      if (result.kind !== 'refused') await rereadGuards(this.state, this.mirror, guards);
       return;
     }
     this.vacantSince.delete(shard);
--- a/src/membership/paging.ts
+++ b/src/membership/paging.ts
@@ -1,5 +1,5 @@
 import type { Logger, Revision, ShardName } from '../kernel/index.js';
-import { shardKey, Urgency, type Guard, type Mirror, type Op, type StateClient } from '../state/index.js';
+import { rereadGuards, shardKey, Urgency, type Guard, type Mirror, type Op, type StateClient } from '../state/index.js';
 import type { ShardDirectory } from './directory.js';
 import { flipGuards, foldGuards, stageChanges, type BlockChange, type KnownShard, type PageVersion } from './pages.js';
 import { encodeShard, type ShardValue } from './shard.js';
@@ -44,7 +44,7 @@
         continue;
       }
       // The record has changed, another has staged them, or a write of ours is on its way: what is there decides.
-      if (result.kind !== 'refused') await this.reread(guards);
+      if (result.kind !== 'refused') await rereadGuards(state, mirror, guards);
       log.info({ shard, epoch: known.version, seenUpTo: mirror.seenUpTo, why: result.kind }, 'pages are not staged');
       return false;
     }
@@ -59,18 +59,6 @@
     return flipGuards(shard, version, pages, state.limits.conditions - others);
   }
 
-  /** Reads what has refused a write: the watch may be too far behind to show it. */
-  async reread(guards: readonly Guard[]): Promise<void> {
-    await Promise.all(guards.map(({ key }) => this.read(key)));
-  }
-
-  private async read(key: string): Promise<void> {
-    const read = await this.deps.state.get(key);
-    if (read.kind !== 'found') return;
-    const { value, version } = read.entry;
-    this.deps.mirror.apply({ key, value, removed: false, version });
-  }
-
   /** The holder turns its record into a head, once all pages are staged; by one small write that record and pages guard. */
   async flip(shard: ShardName, known: KnownShard): Promise<void> {
     if (!(await this.stage(shard, known, Urgency.shard))) return;
@@ -94,7 +82,7 @@
     const op: Op & { readonly value: unknown } = { put: key, value: encodeShard(next) };
     const result = await state.txn(Urgency.shard, guards, [op]);
     if (result.kind === 'ok') mirror.apply({ key, value: op.value, removed: false, version: result.revision });
-    else if (result.kind !== 'refused') await this.reread(guards);
+    else if (result.kind !== 'refused') await rereadGuards(state, mirror, guards);
     return result.kind === 'ok';
   }
 }
--- a/src/membership/seal.ts
+++ b/src/membership/seal.ts
@@ -1,5 +1,5 @@
 import type { Logger, ShardName } from '../kernel/index.js';
-import { nodeKey, shardKey, Urgency, type Mirror, type Op, type StateClient } from '../state/index.js';
+import { nodeKey, reread, shardKey, Urgency, type Mirror, type Op, type StateClient } from '../state/index.js';
 import type { KnownShard } from './pages.js';
 import { encodeShard, SEALED_HOLDER } from './shard.js';
 
@@ -29,9 +29,6 @@
       log.info({ shard, sealed }, "a shard's record has changed its form, for quota shares");
       return;
     }
-    if (result.kind === 'refused') return;
-    const read = await state.get(key);
-    if (read.kind === 'found')
-      mirror.apply({ key, value: read.entry.value, removed: false, version: read.entry.version });
+    if (result.kind !== 'refused') await reread(state, mirror, key);
   }
 }
--- a/src/membership/settle.ts
+++ b/src/membership/settle.ts
@@ -1,5 +1,5 @@
 import type { Runtime, ShardName } from '../kernel/index.js';
-import { shardKey, Urgency, type Mirror, type StateClient } from '../state/index.js';
+import { reread, shardKey, Urgency, type Mirror, type StateClient } from '../state/index.js';
 
 /**
  * After a write of unknown outcome: reads the shard's key and writes it back under guard. Once that
@@ -25,7 +25,7 @@
   absent?: unknown,
 ): Promise<void> {
   while (goOn()) {
-    const read = await state.get(key);
+    const read = await reread(state, mirror, key);
     if (read.kind === 'absent') {
       if (absent === undefined || !goOn()) return;
       // Not there says nothing of a write that would make it: it has to be made first.
@@ -39,7 +39,6 @@
     }
     if (read.kind === 'found') {
       const { version } = read.entry;
-      mirror.apply({ key, value: read.entry.value, removed: false, version });
       if (!goOn()) return;
       const value = rewritten(read.entry.value);
       const result = await state.txn(Urgency.shard, [{ key, version }], [{ put: key, value }]);
--- a/src/quota/shares.ts
+++ b/src/quota/shares.ts
@@ -1,6 +1,7 @@
 import type { TeamFacts } from '../config/index.js';
 import type { Logger, Millis, Revision, Runtime, ShardName } from '../kernel/index.js';
 import {
+  reread,
   quotaKey,
   ROLLOUT_STATE,
   shardKey,
@@ -328,12 +329,7 @@
   /** Another's write came first, or the outcome was not known: what is stored decides. */
   private async reread(changes: readonly Change[]): Promise<void> {
     const { state, mirror } = this.deps;
-    for (const { key } of changes) {
-      const read = await state.get(key);
-      if (read.kind !== 'found') continue;
-      const { value, version } = read.entry;
-      mirror.apply({ key, value, removed: false, version });
-    }
+    for (const { key } of changes) await reread(state, mirror, key);
   }
 
   /** For operators: how each team's limit lies, and what each shard uses and waits for. */
--- a/src/service/ownership.ts
+++ b/src/service/ownership.ts
@@ -19,7 +19,7 @@
   type ShardValue,
 } from '../membership/index.js';
 import type { PeerLink } from '../peers/index.js';
-import { shardKey, SHARDS, type Change, type Mirror, type StateClient } from '../state/index.js';
+import { reread, shardKey, SHARDS, type Change, type Mirror, type StateClient } from '../state/index.js';
 import type { Trail } from '../trail/index.js';
 
 /** How long the watch may take to come up to a claim before we look again. */
@@ -132,11 +132,8 @@
   async verify(): Promise<boolean> {
     let all = true;
     for (const shard of [...this.holders.keys()]) {
-      const read = await this.deps.state.get(shardKey(shard));
+      const read = await reread(this.deps.state, this.deps.mirror, shardKey(shard));
       if (read.kind === 'unavailable') all = false;
-      if (read.kind !== 'found') continue;
-      const { key, value, version } = read.entry;
-      this.deps.mirror.apply({ key, value, removed: false, version });
     }
     return all;
   }
--- a/src/state/index.ts
+++ b/src/state/index.ts
@@ -5,4 +5,5 @@
 export type { Change, Entry, Guard, Op } from './wire.js';
 export * from './format.js';
 export * from './freshness.js';
+export * from './reread.js';
 export * from './watch-lag.js';
