--- a/review/standins/world.mjs
+++ b/review/standins/world.mjs
@@ -32,8 +32,8 @@
 }
 
 export class World {
-  constructor({ facts, teams, cloud, controllers = 3, recordFile, zones, logLevel = 'error' }) {
-    Object.assign(this, { facts, teams, recordFile, zones, logLevel });
+  constructor({ facts, teams, objectives = [], cloud, controllers = 3, recordFile, zones, logLevel = 'error' }) {
+    Object.assign(this, { facts, teams, objectives, recordFile, zones, logLevel });
     this.jobs = new Map();
     this.results = new Set();
     this.runSOf = new Map();
@@ -154,6 +154,8 @@
       toml.push('[[facts.teams]]', `name = "${team.name}"`);
       for (const field of ['cpus', 'cpus_max', 'gpus', 'gpus_max']) toml.push(`${field} = ${team[field] ?? 0}`);
     }
+    for (const { kind, within_s: withinS, share, ...rest } of this.objectives)
+      toml.push('[[facts.objectives]]', `kind = "${kind}"`, `class = "${rest.class}"`, `within_s = ${withinS}`, `share = ${share}`);
     table('workers', facts.workers);
     table('state', facts.state);
     table('cloud', { rps: this.cloud.facts.rps, list_lag_s: this.cloud.facts.list_lag_s });
