--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -23,8 +23,9 @@
   recordFile: join(here, 'record.txt'),
 });
 world.quietEvents = new Set(['ordered', 'on', 'off']);
-const CYCLES = 3;
-const PROBES = 40;
+/** No cycle begins later than this. */
+const LAST_CYCLE_MS = 17_000;
+const PROBES = 30;
 const WAIT_MS = 90_000;
 const begun = new Set();
 world.listeners.push((kind, fields) => {
@@ -62,18 +63,20 @@
   for (let i = 0; i < UP; i++) await (await world.cloud.add('magazyn', ['praga', 'krakow'][i % 2], i % 4 > 1, 0)).done;
   for (const node of world.nodes) world.launch(node);
   for (const node of world.nodes) if (!(await world.healthy(node))) return 2;
-  await sleep(2500);
-  for (let cycle = 0; cycle < CYCLES; cycle++) {
+  await sleep(1500);
+  for (let cycle = 0; world.now() < LAST_CYCLE_MS; cycle++) {
+    const began = world.now();
     const sweeps = Array.from({ length: SWEEPS }, (_, i) => `j-0001${cycle}${i}`);
     await Promise.all(sweeps.map((ref, i) => submit({ ref, jobclass: 'msisdn-sweep', urgency: 'standard', pieces: 25_000 }, i)));
-    await sleep(3500);
+    await sleep(2500);
     await Promise.all(Array.from({ length: PROBES }, (_, i) => submit({ ref: `j-000${200 + cycle * 100 + i}`, jobclass: 'hlr-probes', urgency: 'low', pieces: 1 }, i)));
+    await sleep(Math.max(0, began + 5000 - world.now()));
     world.record(`tasks on machines: ${machines().map(({ info, worker }) => `${info.ref}=${live(worker)}`).join(' ')}`);
     if (!TROUBLE) continue;
     const told = await Promise.all(sweeps.map((ref, i) => request(`/v1/jobs/${ref}/cancel`, {}, i)));
     if (told.some(({ phase }) => phase !== 'withdrawn')) return 2;
     for (const ref of sweeps) accepted.delete(ref);
-    await sleep(1500);
+    await sleep(800);
   }
   const probes = [...accepted.keys()].filter((ref) => world.jobs.get(ref).pieces === 1);
   let since = performance.now();
