--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -10,7 +10,7 @@
 const world = new World({ ...DAR, recordFile: join(here, 'record.txt') });
 world.quietEvents = new Set(['on', 'off', 'ordered']);
 const USERS = 400;
-const ARRIVE_MS = 550;
+const ARRIVE_MS = 480;
 let balancer;
 /** Job -> what its user was told last: 'accepted'. */
 const accepted = new Map();
@@ -29,7 +29,7 @@
       break;
     }
     refusals += 1;
-    await sleep(Math.max(1000, Math.min(30_000, (answer.retryAfterS ?? 0) * 1000)) + Math.random() * 200);
+    await sleep(Math.max(1000, Math.min(30_000, (answer.retryAfterS ?? 0) * 1000)) + Math.random() * 100);
   }
   while (accepted.has(job.ref) && world.now() < untilMs) {
     await sleep(5000 * (0.9 + Math.random() / 5));
@@ -63,7 +63,7 @@
   const users = Array.from({ length: USERS }, async (_, i) => {
     const job = submission({ ref: `j-${String(100_000 + i)}`, jobclass: 'booking-desk', owner: 'ratiba', shape: 'daemon', urgency: 'production', pieces: 3, vcpus: 1, ram_gb: 2, pull_gb: 1.8, flotsam: false, expected_s: 0 });
     world.jobs.set(job.ref, job);
-    await sleep(Math.random() * ARRIVE_MS);
+    await sleep(80 + Math.random() * ARRIVE_MS);
     await user(job, untilMs);
   });
   if (TROUBLE) {
