--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,4 +1,4 @@
-// Users cancel a sweep that fills machines with hundreds of small tasks; small jobs that are started in that moment never run.
+// Users cancel sweeps of some hundred small tasks on a machine while small jobs come; some of those never run.
 import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { call, sleep } from '../standins/http.mjs';
@@ -8,9 +8,6 @@
 const here = dirname(fileURLToPath(import.meta.url));
 // Settings and capacity of the deployment przenos-hosting-waw as in kit/more/hunt.
 const capacity = new Map([['magazyn/praga/false', 4], ['magazyn/praga/true', 7], ['magazyn/krakow/false', 4], ['magazyn/krakow/true', 4]]);
-const UP = 15;
-/** Sweeps in a cycle: as many as there are controllers. */
-const SWEEPS = 3;
 const world = new World({
   ...WARSAW,
   teams: [{ name: 'przenosiny' }, { name: 'analityka-rynku' }],
@@ -22,15 +19,21 @@
   cloud: { ...WARSAW.cloud, rps: 6, capacity },
   recordFile: join(here, 'record.txt'),
 });
-world.quietEvents = new Set(['ordered', 'on', 'off']);
-/** No cycle begins later than this. */
-const LAST_CYCLE_MS = 17_000;
-const PROBES = 30;
+world.quietEvents = new Set(['ordered']);
+/** Tasks of a sweep: 53 of a machine's 64 CPUs. */
+const PIECES = 212;
+const PROBES_PER_S = 7;
+/** No sweep is submitted later than this. */
+const LAST_SWEEP_MS = 20_000;
 const WAIT_MS = 90_000;
+/** CPUs that have to be free on one machine for it to count as one that has room: half of them. */
+const ROOM = 32;
+
 const begun = new Set();
 world.listeners.push((kind, fields) => {
   if (kind === 'on') begun.add(fields.piece.slice(0, fields.piece.lastIndexOf('/')));
 });
+/** Jobs that are accepted and not cancelled, and when they were. */
 const accepted = new Map();
 
 async function request(path, body, first = 0) {
@@ -54,44 +57,51 @@
 }
 
 const machines = () => [...world.cloud.machines.values()].filter(({ worker, info }) => worker && !worker.dead && info.hull === 'magazyn');
-const live = (worker, ref) => [...worker.pieces.values()].filter((piece) => piece.phase !== 'exited' && (!ref || piece.ref === ref)).length;
-/** Machines that are up, reporting and without any task: more than the rule asks for. */
-const roomy = () => machines().filter(({ worker }) => live(worker) === 0);
+const free = (worker) => 64 - [...worker.pieces.values()].reduce((sum, piece) => sum + (piece.phase === 'exited' ? 0 : piece.job.vcpus), 0);
+const roomy = () => machines().filter(({ worker }) => free(worker) >= ROOM);
 
 async function main() {
   await world.start();
-  for (let i = 0; i < UP; i++) await (await world.cloud.add('magazyn', ['praga', 'krakow'][i % 2], i % 4 > 1, 0)).done;
+  await (await world.cloud.add('magazyn', 'praga', false, 0)).done;
   for (const node of world.nodes) world.launch(node);
   for (const node of world.nodes) if (!(await world.healthy(node))) return 2;
-  await sleep(1500);
-  for (let cycle = 0; world.now() < LAST_CYCLE_MS; cycle++) {
-    const began = world.now();
-    const sweeps = Array.from({ length: SWEEPS }, (_, i) => `j-0001${cycle}${i}`);
-    await Promise.all(sweeps.map((ref, i) => submit({ ref, jobclass: 'msisdn-sweep', urgency: 'standard', pieces: 25_000 }, i)));
-    await sleep(2500);
-    await Promise.all(Array.from({ length: PROBES }, (_, i) => submit({ ref: `j-000${200 + cycle * 100 + i}`, jobclass: 'hlr-probes', urgency: 'low', pieces: 1 }, i)));
-    await sleep(Math.max(0, began + 5000 - world.now()));
-    world.record(`tasks on machines: ${machines().map(({ info, worker }) => `${info.ref}=${live(worker)}`).join(' ')}`);
+  await sleep(2000);
+  let over = false;
+  const probes = [];
+  const arrivals = (async () => {
+    for (let i = 0; !over; i++) {
+      const ref = `j-${200_000 + i}`;
+      probes.push(submit({ ref, jobclass: 'hlr-probes', urgency: 'low', pieces: 1 }, i));
+      await sleep((1000 / PROBES_PER_S) * (0.5 + Math.random()));
+    }
+  })();
+  for (let cycle = 0; world.now() < LAST_SWEEP_MS; cycle++) {
+    const sweep = `j-${100_000 + cycle}`;
+    await submit({ ref: sweep, jobclass: 'msisdn-sweep', urgency: 'standard', pieces: PIECES }, cycle);
+    await sleep(1800);
     if (!TROUBLE) continue;
-    const told = await Promise.all(sweeps.map((ref, i) => request(`/v1/jobs/${ref}/cancel`, {}, i)));
-    if (told.some(({ phase }) => phase !== 'withdrawn')) return 2;
-    for (const ref of sweeps) accepted.delete(ref);
-    await sleep(800);
+    const told = await request(`/v1/jobs/${sweep}/cancel`, {}, cycle);
+    if (told.phase !== 'withdrawn') return 2;
+    accepted.delete(sweep);
+    await sleep(300);
   }
-  const probes = [...accepted.keys()].filter((ref) => world.jobs.get(ref).pieces === 1);
+  over = true;
+  await arrivals;
+  await Promise.all(probes);
+  const jobs = [...accepted.keys()].filter((ref) => world.jobs.get(ref).pieces === 1);
   let since = performance.now();
-  while (performance.now() - since < WAIT_MS && world.now() < 114_000) {
+  for (let i = 0; performance.now() - since < WAIT_MS && world.now() < 114_500; i++) {
     if (roomy().length === 0) since = performance.now();
-    const waiting = probes.filter((ref) => !begun.has(ref));
+    const waiting = jobs.filter((ref) => !begun.has(ref));
     if (waiting.length === 0) break;
-    if (Math.round((performance.now() - since) / 1000) % 10 === 0) world.record(`not begun: ${waiting.join(' ')}; empty machines: ${roomy().map(({ info }) => `${info.ref}`).join(' ')}`);
+    if (i % 10 === 0) world.record(`not begun: ${waiting.join(' ')}; machines with room: ${roomy().map(({ info, worker }) => `${info.ref} (${free(worker)} CPUs free)`).join(' ')}`);
     await sleep(1000);
   }
-  const left = probes.filter((ref) => !begun.has(ref));
+  const left = jobs.filter((ref) => !begun.has(ref));
   if (left.length === 0 || performance.now() - since < WAIT_MS) return 0;
   for (const ref of left) {
     const answer = await call({ port: world.nodes[0].port, path: `/v1/jobs/${ref}`, timeoutMs: 2000 });
-    world.record(`broken left waiting: ${ref} has waited ${Math.round((world.now() - accepted.get(ref)) / 1000)} s, 90 s of them beside machines without any task; poll -> ${answer.status} ${JSON.stringify(answer.body)}`);
+    world.record(`broken left waiting: ${ref} has waited ${Math.round((world.now() - accepted.get(ref)) / 1000)} s, 90 s of them beside a machine with room; poll -> ${answer.status} ${JSON.stringify(answer.body)}`);
   }
   return 1;
 }
