Count what becomes of requests that are forwarded to peers

Neither logs nor `admin status` could tell how: an answer that came to the wrong process, one that was taken for another request of the same process, or a job that the answering controller itself had mixed up.

Change: requests without an answer have a module of their own, which counts them by outcome. A received message names the process that sent it, a connection the process at its other end. `admin status` shows under `forwarding` how many answers went to another process than the one that asked, how many came for no request, and how many were about another job than the request. No decision changes.

--- a/src/peers/index.ts
+++ b/src/peers/index.ts
@@ -9,4 +9,5 @@
   FRAME_VERSION,
 } from './frame-codec.js';
 export * from './peer-transport.js';
+export type { ForwardedAnswer, RequestCounts } from './pending-requests.js';
 export * from './messages.js';
--- a/src/peers/peer-transport.ts
+++ b/src/peers/peer-transport.ts
@@ -20,6 +20,7 @@
   type PeerMessage,
 } from './messages.js';
 import { FrameCounter, type FrameCount } from './frame-counter.js';
+import { PendingRequests, type ForwardedAnswer, type RequestCounts } from './pending-requests.js';
 
 /** Frames sent to and received from peers, by message kind. */
 export interface PeerTraffic {
@@ -41,9 +42,16 @@
   readonly lastHelloAt: Millis;
 }
 
-/** A message and the peer that sent it. */
+/** Forwarded requests of this node, and its answers to those of peers. */
+export interface ForwardingCounts extends RequestCounts {
+  /** Answers to requests of a peer's process whose place on the connection to the peer another process has taken. */
+  readonly answersToOtherIncarnations: number;
+}
+
+/** A message and the process that sent it. */
 export interface ReceivedMessage {
   readonly from: NodeName;
+  readonly incarnation: Incarnation;
   readonly message: PeerMessage;
 }
 
@@ -59,6 +67,8 @@
    * for the connection and not for the node, because another release may soon answer at the same address.
    */
   version: number;
+  /** The process at the other end; null until its welcome arrives. */
+  incarnation: Incarnation | null;
 }
 
 /** Latest hello of a peer and the frame version of the connection to it. */
@@ -75,11 +85,10 @@
   readonly received = new Subject<ReceivedMessage>();
   private readonly peers: OutgoingConnection[];
   private readonly status = new Map<NodeName, PeerStatus>();
-  /** Requests to peers without an answer so far, by request id. */
-  private readonly pendingRequests = new Map<number, (answer: { status: number; body: string } | null) => void>();
+  private readonly pendingRequests: PendingRequests;
+  private answersToOtherIncarnations = 0;
   private server: TcpListener | undefined;
   private incomingCount = 0;
-  private nextRequestId = 1;
   private helloTimer: Timer | undefined;
   private skippedCount = 0;
   private readonly sentFrames = new FrameCounter();
@@ -95,7 +104,11 @@
     private readonly runtime: Runtime,
     private readonly log: Logger,
   ) {
-    this.peers = seeds.map((seed) => ({ ...seed, socket: undefined, ready: false, version: OLDEST_FRAME_VERSION }));
+    this.pendingRequests = new PendingRequests(runtime);
+    this.peers = seeds.map((seed) => ({
+      ...seed,
+      ...{ socket: undefined, ready: false, version: OLDEST_FRAME_VERSION, incarnation: null },
+    }));
   }
 
   /** Starts listening, connects to all peers and sends hellos periodically. */
@@ -137,6 +150,11 @@
     return { sent: this.sentFrames.byKind, received: this.receivedFrames.byKind };
   }
 
+  /** Forwarded requests and their answers since the process started. */
+  get forwarding(): ForwardingCounts {
+    return { ...this.pendingRequests.counts, answersToOtherIncarnations: this.answersToOtherIncarnations };
+  }
+
   /** Returns all peers that have sent a hello recently. */
   recentPeers(): RecentPeer[] {
     return this.peers.flatMap((peer) => {
@@ -184,20 +202,18 @@
     op: ForwardedOperation,
     body: string,
     timeoutMs: number,
-  ): Promise<{ status: number; body: string } | null> {
-    return new Promise((resolve) => {
-      const id = this.nextRequestId++ >>> 0;
-      const timer = this.runtime.after(timeoutMs, () => {
-        this.pendingRequests.delete(id);
-        resolve(null);
-      });
-      this.pendingRequests.set(id, (answer) => {
-        timer.cancel();
-        this.pendingRequests.delete(id);
-        resolve(answer);
-      });
-      if (!this.send(to, { kind: 'ask', id, op, body })) this.pendingRequests.get(id)?.(null);
-    });
+  ): Promise<ForwardedAnswer | null> {
+    return this.pendingRequests.forward(timeoutMs, (id) => this.send(to, { kind: 'ask', id, op, body }));
+  }
+
+  /** Sends the answer to a request that a process of a peer has forwarded. */
+  answerRequest(to: NodeName, asker: Incarnation, id: number, answer: ForwardedAnswer): void {
+    const connectedTo = this.peers.find((peer) => peer.node === to)?.incarnation ?? null;
+    if (connectedTo !== asker) {
+      this.answersToOtherIncarnations += 1;
+      this.log.debug({ to, id, asker, connectedTo }, 'the process that forwarded a request is no longer connected');
+    }
+    this.send(to, { kind: 'answer', id, status: answer.status, body: answer.body });
   }
 
   /** Sends the current condition of this node to all peers without waiting for the next periodic hello. */
@@ -232,6 +248,7 @@
     const socket = this.runtime.connect(peer.address);
     peer.socket = socket;
     peer.version = OLDEST_FRAME_VERSION;
+    peer.incarnation = null;
     const timer = this.runtime.after(CONNECT_TIMEOUT_MS, () => socket.destroy());
     socket.on('connect', () => {
       timer.cancel();
@@ -243,12 +260,14 @@
       timer.cancel();
       peer.ready = false;
       peer.socket = undefined;
+      peer.incarnation = null;
     });
     // After a network partition the connection stays open but inactive, and nothing written to it is acknowledged.
     socket.setTimeout(15_000, () => socket.destroy());
     this.readFrames(socket, peer.node, (message) => {
-      if (message.kind === 'welcome')
-        peer.version = Math.max(OLDEST_FRAME_VERSION, Math.min(FRAME_VERSION, message.frames));
+      if (message.kind !== 'welcome') return;
+      peer.version = Math.max(OLDEST_FRAME_VERSION, Math.min(FRAME_VERSION, message.frames));
+      peer.incarnation = message.incarnation;
     });
   }
 
@@ -290,10 +309,10 @@
       return;
     }
     this.incomingCount += 1;
-    let from: NodeName | undefined;
-    this.readFrames(socket, from, (message) => {
+    let sender: { readonly from: NodeName; readonly incarnation: Incarnation } | undefined;
+    this.readFrames(socket, undefined, (message) => {
       if (message.kind === 'hello') {
-        if (from === undefined) socket.write(encodeMessage(this.welcomeMessage(), FRAME_VERSION));
+        if (sender === undefined) socket.write(encodeMessage(this.welcomeMessage(), FRAME_VERSION));
         const { node, incarnation, stateOk, fit, leaving, release, features, limitsFallen } = message;
         const condition = {
           node,
@@ -305,13 +324,13 @@
           features,
           limitsFallen,
         };
-        from = node;
+        sender = { from: node, incarnation };
         this.status.set(node, { ...condition, lastHelloAt: this.runtime.now() });
       }
-      if (from === undefined) throw new Error('frame received before the hello');
+      if (sender === undefined) throw new Error('frame received before the hello');
       if (message.kind === 'answer')
-        this.pendingRequests.get(message.id)?.({ status: message.status, body: message.body });
-      else this.received.next({ from, message });
+        this.pendingRequests.settle(sender.from, message.id, { status: message.status, body: message.body });
+      else this.received.next({ ...sender, message });
     });
     socket.on('error', () => undefined);
     socket.on('close', () => {
--- a/src/service/peer-messages.ts
+++ b/src/service/peer-messages.ts
@@ -23,7 +23,7 @@
 }
 
 /** Dispatches a message of a peer to the part of this node that handles it. */
-export function handlePeerMessage(deps: PeerMessageDeps, { from, message }: ReceivedMessage): void {
+export function handlePeerMessage(deps: PeerMessageDeps, { from, incarnation, message }: ReceivedMessage): void {
   const { state, peers, router, registry, ownership, cancellationPropagator, userRequests, quotas } = deps;
   switch (message.kind) {
     case 'hello':
@@ -49,9 +49,9 @@
       deps.requestQuotaRound();
       break;
     case 'ask':
-      void userRequests.onAsk(message.op, message.body).then((answer) => {
-        peers.send(from, { kind: 'answer', id: message.id, ...answer });
-      });
+      void userRequests
+        .onAsk(message.op, message.body)
+        .then((answer) => peers.answerRequest(from, incarnation, message.id, answer));
       break;
     case 'standdown':
       ownership.onStandDown(from, message.shard, message.version);
--- a/src/service/service.ts
+++ b/src/service/service.ts
@@ -329,6 +329,7 @@
       cancellationPropagator,
       ownership,
       peers,
+      userRequests: this.userRequests,
     };
     const admin = adminRouter(
       this.settingsStore,
@@ -523,7 +524,7 @@
 
   /** Sends a message to a node; a message to this node is handled locally. */
   private sendToPeer(node: NodeName, message: PeerMessage): void {
-    if (node === this.settings.node) this.onPeer({ from: node, message });
+    if (node === this.settings.node) this.onPeer({ from: node, incarnation: this.incarnation, message });
     else this.peers.send(node, message);
   }
 
--- a/src/service/status.ts
+++ b/src/service/status.ts
@@ -6,6 +6,7 @@
 import type { DependencyTracker } from '../pipelines/index.js';
 import type { Mirror, StateClient } from '../state/index.js';
 import type { ShardOwnership } from './shard-ownership.js';
+import type { UserRequestHandler } from './user-requests.js';
 
 /** The parts of a node that its status is read from. */
 export interface StatusDeps {
@@ -19,11 +20,12 @@
   readonly cancellationPropagator: CancellationPropagator;
   readonly ownership: ShardOwnership;
   readonly peers: PeerTransport;
+  readonly userRequests: UserRequestHandler;
 }
 
 /** The status of a node as shown by `admin status`. */
 export function nodeStatus({ node, incarnation, membership, state, settingsStore, ...deps }: StatusDeps): unknown {
-  const { mirror, dependencyTracker, cancellationPropagator, ownership, peers } = deps;
+  const { mirror, dependencyTracker, cancellationPropagator, ownership, peers, userRequests } = deps;
   return {
     ...{
       node,
@@ -37,6 +39,7 @@
     stateLimits: { fallen: state.limits.lowerLimitsInForce, writeRps: state.limits.writeRps },
     pipelines: dependencyTracker.counts,
     ...{ cancellations: cancellationPropagator.status, heldBack: ownership.heldBack, peers: peers.traffic },
+    forwarding: { ...peers.forwarding, answersAboutOtherJobs: userRequests.answersAboutOtherJobs },
     shards: [...ownership.holders.values()].map((holder) => holder.summary()),
   };
 }
--- a/src/service/user-requests.ts
+++ b/src/service/user-requests.ts
@@ -1,7 +1,7 @@
 import { PIPELINES } from '../rollout/index.js';
 import { encodeJobView, parseJobId, type JobRegistry, type JobSpec, type JobRequestOutcome } from '../jobs/index.js';
 import { isObject, type JobId, type NodeName } from '../kernel/index.js';
-import type { ForwardedOperation, PeerTransport } from '../peers/index.js';
+import type { ForwardedAnswer, ForwardedOperation, PeerTransport } from '../peers/index.js';
 
 /** A request of a user. */
 export type UserRequest =
@@ -36,8 +36,26 @@
   }
 };
 
+/** Decodes a peer's answer to a forwarded request; null if its body is not JSON. */
+function decodeForwardedAnswer({ status, body }: ForwardedAnswer): UserResponse | null {
+  try {
+    return { status, body: JSON.parse(body) as unknown };
+  } catch {
+    return null;
+  }
+}
+
+/** The job that a request is about. */
+const jobOf = (request: UserRequest): string => (request.op === 'submit' ? request.spec.id : request.id);
+
+/** Whether an answer to a request shows a job, and another one than the request is about. */
+const isAboutAnotherJob = (request: UserRequest, { status, body }: UserResponse): boolean =>
+  (status === 200 || status === 201) && !(isObject(body) && body['ref'] === jobOf(request));
+
 /** Serves requests of users on this node, or through a peer that has the state service if this node lacks it. */
 export class UserRequestHandler {
+  private foreignAnswers = 0;
+
   constructor(
     private readonly registry: JobRegistry,
     private readonly peers: PeerTransport,
@@ -45,6 +63,11 @@
     private readonly stateOk: () => boolean,
   ) {}
 
+  /** Number of answers of peers that were about another job than the forwarded request, since the process started. */
+  get answersAboutOtherJobs(): number {
+    return this.foreignAnswers;
+  }
+
   /** Serves a request on this node or through a peer. */
   async serve(request: UserRequest): Promise<UserResponse> {
     // While this node knows that it lacks the state service, it asks a peer first, so that the user does not wait.
@@ -77,15 +100,13 @@
     if (peer === undefined) return null;
     const response = await this.peers.forwardRequest(peer, request.op, JSON.stringify(request), FORWARD_TIMEOUT_MS);
     if (!response || response.status === 503) return null;
-    try {
-      return { status: response.status, body: JSON.parse(response.body) as unknown };
-    } catch {
-      return null;
-    }
+    const decoded = decodeForwardedAnswer(response);
+    if (decoded !== null && isAboutAnotherJob(request, decoded)) this.foreignAnswers += 1;
+    return decoded;
   }
 
   /** Serves a request that a peer has forwarded for its user. */
-  async onAsk(op: ForwardedOperation, body: string): Promise<{ status: number; body: string }> {
+  async onAsk(op: ForwardedOperation, body: string): Promise<ForwardedAnswer> {
     let request: unknown;
     try {
       request = JSON.parse(body);
