Give answers of peers only to the process and the request that they belong to

What callers saw: a user who submitted job A got 201 with the view of job B. In the same way a query could get another request's 404 or done, and a cancellation another one's 200.

Cause: a controller without the state service forwards users' requests to a peer. Each process numbered them from 1, and the answer carried that number alone. The answering controller sent it to whatever process ran at the asking node's address by then, and the asking one took any answer with the number of a request that waited. A controller that ended while the peer was still storing its submissions, and was back at once, got the answers to the ended process's requests for its own.

Fix, one guard on each side, so that one side of this release suffices: - An answer is sent only if the connection leads to the incarnation that asked, which the asking connection's hello and the welcome of the answering side's own connection tell. This also keeps processes of earlier releases from getting such answers. - Request ids start at a number from the incarnation (32 bits) instead of 1, and only the peer that was asked can answer. This holds beside earlier releases that answer by node name; two processes' ids meet there with a probability of some 1 in 10^7 for each restart. - An answer with 200 or 201 has to show the job that was asked for. No frame changes.

--- a/packages/region/test/simulation-harness.ts
+++ b/packages/region/test/simulation-harness.ts
@@ -41,6 +41,11 @@
     return new SimProcess(ip, host, this.world, this.network, this.rng.fork(ip), clocks, maxSockets);
   }
 
+  /** Creates the process that follows an ended one on the same host. */
+  restart({ name, host }: SimProcess): SimProcess {
+    return new SimProcess(name, host, this.world, this.network, this.rng.fork(`${name} ${this.world.now}`));
+  }
+
   /** Starts a state service; returns its model and address. */
   state(config: Partial<StateServiceConfig> = {}): { readonly model: StateModel; readonly at: Endpoint } {
     const process = this.process(STATE_ADDRESS.host);
--- a/src/peers/peer-transport.ts
+++ b/src/peers/peer-transport.ts
@@ -44,8 +44,8 @@
 
 /** Forwarded requests of this node, and its answers to those of peers. */
 export interface ForwardingCounts extends RequestCounts {
-  /** Answers to requests of a peer's process whose place on the connection to the peer another process has taken. */
-  readonly answersToOtherIncarnations: number;
+  /** Answers that were not sent because the process that had asked is not the one at the end of the connection. */
+  readonly undeliverableAnswers: number;
 }
 
 /** A message and the process that sent it. */
@@ -86,7 +86,7 @@
   private readonly peers: OutgoingConnection[];
   private readonly status = new Map<NodeName, PeerStatus>();
   private readonly pendingRequests: PendingRequests;
-  private answersToOtherIncarnations = 0;
+  private undeliverableAnswers = 0;
   private server: TcpListener | undefined;
   private incomingCount = 0;
   private helloTimer: Timer | undefined;
@@ -104,7 +104,7 @@
     private readonly runtime: Runtime,
     private readonly log: Logger,
   ) {
-    this.pendingRequests = new PendingRequests(runtime);
+    this.pendingRequests = new PendingRequests(incarnation, runtime);
     this.peers = seeds.map((seed) => ({
       ...seed,
       ...{ socket: undefined, ready: false, version: OLDEST_FRAME_VERSION, incarnation: null },
@@ -152,7 +152,7 @@
 
   /** Forwarded requests and their answers since the process started. */
   get forwarding(): ForwardingCounts {
-    return { ...this.pendingRequests.counts, answersToOtherIncarnations: this.answersToOtherIncarnations };
+    return { ...this.pendingRequests.counts, undeliverableAnswers: this.undeliverableAnswers };
   }
 
   /** Returns all peers that have sent a hello recently. */
@@ -203,17 +203,22 @@
     body: string,
     timeoutMs: number,
   ): Promise<ForwardedAnswer | null> {
-    return this.pendingRequests.forward(timeoutMs, (id) => this.send(to, { kind: 'ask', id, op, body }));
+    return this.pendingRequests.forward(to, timeoutMs, (id) => this.send(to, { kind: 'ask', id, op, body }));
   }
 
-  /** Sends the answer to a request that a process of a peer has forwarded. */
+  /**
+   * Sends the answer to a request that a process of a peer has forwarded. It is dropped unless the connection leads to
+   * that very process: the process that follows an ended one would take it for the answer to a request of its own if the
+   * request ids are the same. Releases before this one number the requests of every process from 1.
+   */
   answerRequest(to: NodeName, asker: Incarnation, id: number, answer: ForwardedAnswer): void {
     const connectedTo = this.peers.find((peer) => peer.node === to)?.incarnation ?? null;
-    if (connectedTo !== asker) {
-      this.answersToOtherIncarnations += 1;
-      this.log.debug({ to, id, asker, connectedTo }, 'the process that forwarded a request is no longer connected');
+    if (connectedTo === asker) {
+      this.send(to, { kind: 'answer', id, status: answer.status, body: answer.body });
+      return;
     }
-    this.send(to, { kind: 'answer', id, status: answer.status, body: answer.body });
+    this.undeliverableAnswers += 1;
+    this.log.debug({ to, id, asker, connectedTo }, 'the process that forwarded a request is no longer connected');
   }
 
   /** Sends the current condition of this node to all peers without waiting for the next periodic hello. */
--- a/src/peers/pending-requests.ts
+++ b/src/peers/pending-requests.ts
@@ -1,4 +1,4 @@
-import type { NodeName, Runtime } from '../kernel/index.js';
+import type { Incarnation, NodeName, Runtime } from '../kernel/index.js';
 
 /** The HTTP status and JSON body with which a peer answers a forwarded request. */
 export interface ForwardedAnswer {
@@ -14,26 +14,47 @@
   readonly answered: number;
   /** Requests without an answer in time. */
   readonly timedOut: number;
-  /** Answers to requests that had timed out, or that this process never sent. */
+  /** Answers to requests that had timed out, that went to another peer, or that this process never sent. */
   readonly unmatchedAnswers: number;
 }
 
+/** A request without an answer so far. */
+interface PendingRequest {
+  /** The peer that has to answer it. */
+  readonly to: NodeName;
+  settle(answer: ForwardedAnswer): void;
+}
+
+/**
+ * The id of the first request of a process, taken from its incarnation. A peer of an earlier release may send the
+ * answer to a request of an ended process to the process that follows it, so their ids must not be the same.
+ */
+const firstRequestId = (incarnation: Incarnation): number => Number.parseInt(incarnation.slice(0, 8), 16) >>> 0;
+
 /** The requests that this process has forwarded to peers and that have no answer so far. */
 export class PendingRequests {
-  private readonly pending = new Map<number, (answer: ForwardedAnswer) => void>();
-  private nextId = 1;
+  private readonly pending = new Map<number, PendingRequest>();
+  private nextId: number;
   private readonly mutableCounts = { forwarded: 0, unsent: 0, answered: 0, timedOut: 0, unmatchedAnswers: 0 };
 
-  constructor(private readonly runtime: Pick<Runtime, 'after'>) {}
+  constructor(
+    incarnation: Incarnation,
+    private readonly runtime: Pick<Runtime, 'after'>,
+  ) {
+    this.nextId = firstRequestId(incarnation);
+  }
 
   /** Numbers of requests and answers since the process started. */
   get counts(): RequestCounts {
     return this.mutableCounts;
   }
 
-  /** Sends a request under a new id; resolves to null when it cannot be sent or no answer arrives in time. */
-  forward(timeoutMs: number, send: (id: number) => boolean): Promise<ForwardedAnswer | null> {
-    const id = this.nextId++ >>> 0;
+  /**
+   * Sends a request to a peer under a new id; resolves to null when it cannot be sent or no answer arrives in time.
+   */
+  forward(to: NodeName, timeoutMs: number, send: (id: number) => boolean): Promise<ForwardedAnswer | null> {
+    const id = this.nextId;
+    this.nextId = (id + 1) >>> 0;
     this.mutableCounts.forwarded += 1;
     if (!send(id)) {
       this.mutableCounts.unsent += 1;
@@ -45,19 +66,20 @@
         this.mutableCounts.timedOut += 1;
         resolve(null);
       });
-      this.pending.set(id, (answer) => {
+      const settle = (answer: ForwardedAnswer): void => {
         timer.cancel();
         this.pending.delete(id);
         this.mutableCounts.answered += 1;
         resolve(answer);
-      });
+      };
+      this.pending.set(id, { to, settle });
     });
   }
 
-  /** Passes a peer's answer to the request that waits for it. */
-  settle(_from: NodeName, id: number, answer: ForwardedAnswer): void {
-    const settle = this.pending.get(id);
-    if (settle) settle(answer);
+  /** Passes a peer's answer to the request that waits for an answer of this peer under this id, if any. */
+  settle(from: NodeName, id: number, answer: ForwardedAnswer): void {
+    const request = this.pending.get(id);
+    if (request?.to === from) request.settle(answer);
     else this.mutableCounts.unmatchedAnswers += 1;
   }
 }
--- a/src/service/user-requests.ts
+++ b/src/service/user-requests.ts
@@ -63,7 +63,10 @@
     private readonly stateOk: () => boolean,
   ) {}
 
-  /** Number of answers of peers that were about another job than the forwarded request, since the process started. */
+  /**
+   * Number of answers of peers that were refused because they were about another job than the forwarded request, since
+   * the process started.
+   */
   get answersAboutOtherJobs(): number {
     return this.foreignAnswers;
   }
@@ -101,8 +104,9 @@
     const response = await this.peers.forwardRequest(peer, request.op, JSON.stringify(request), FORWARD_TIMEOUT_MS);
     if (!response || response.status === 503) return null;
     const decoded = decodeForwardedAnswer(response);
-    if (decoded !== null && isAboutAnotherJob(request, decoded)) this.foreignAnswers += 1;
-    return decoded;
+    if (decoded === null || !isAboutAnotherJob(request, decoded)) return decoded;
+    this.foreignAnswers += 1;
+    return null;
   }
 
   /** Serves a request that a peer has forwarded for its user. */
--- /dev/null
+++ b/test/forwarded-requests.test.ts
@@ -0,0 +1,161 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { JobRegistry, JobRequestOutcome } from '../src/jobs/index.js';
+import { incarnation, jobId, nodeName, type JobId, type NodeName } from '../src/kernel/index.js';
+import { PeerTransport, type PeerCondition, type PeerMessage } from '../src/peers/index.js';
+import { handlePeerMessage, UserRequestHandler, type PeerMessageDeps } from '../src/service/index.js';
+import type { SimProcess } from '../packages/region/src/index.js';
+import { SimulationHarness } from '../packages/region/test/simulation-harness.js';
+
+const ASKER = nodeName('asker');
+const ANSWERER = nodeName('answerer');
+const BYSTANDER = nodeName('bystander');
+const ADDRESSES = new Map<NodeName, { readonly host: string; readonly port: number }>([
+  [ASKER, { host: '10.0.1.1', port: 8081 }],
+  [ANSWERER, { host: '10.0.1.2', port: 8081 }],
+  [BYSTANDER, { host: '10.0.1.3', port: 8081 }],
+]);
+const [FIRST_JOB, SECOND_JOB] = [jobId('j-000001'), jobId('j-000002')];
+/** Long enough for a lost connection to be noticed and opened again. */
+const RECONNECT_MS = 3000;
+/** Long enough for a frame to arrive, and shorter than the longest wait for an answer. */
+const DELIVERY_MS = 200;
+
+/** A controller of which only the transport and the handling of users' requests run. */
+interface TestNode {
+  readonly process: SimProcess;
+  readonly peers: PeerTransport;
+  readonly requests: UserRequestHandler;
+  /** Answers the queries that have arrived at this node: the job is running. */
+  answerQueries(): void;
+}
+
+const condition = (stateOk: boolean): PeerCondition => ({
+  ...{ stateOk, fit: true, leaving: false, release: 1, features: [], limitsFallen: false },
+});
+
+/** Starts the process of a node. `process` is that of its earlier incarnation, whose host it runs on. */
+function startNode(lab: SimulationHarness, name: NodeName, process: SimProcess, stateOk: boolean): TestNode {
+  const address = ADDRESSES.get(name);
+  assert.ok(address);
+  const seeds = [...ADDRESSES].filter(([node]) => node !== name).map(([node, at]) => ({ node, address: at }));
+  const ownIncarnation = incarnation(process.uniqueId());
+  const peers = new PeerTransport(name, ownIncarnation, address, seeds, () => condition(stateOk), process, lab.log);
+  const queries: (() => void)[] = [];
+  const query = (id: JobId): Promise<JobRequestOutcome> =>
+    stateOk
+      ? new Promise((resolve) =>
+          queries.push(() => resolve({ kind: 'known', view: { id, phase: 'running', done: 0, running: 1 } })),
+        )
+      : Promise.resolve({ kind: 'later', reason: 'no state service' });
+  const requests = new UserRequestHandler(
+    { query } as unknown as JobRegistry,
+    peers,
+    () => true,
+    () => stateOk,
+  );
+  const deps = { peers, userRequests: requests } as unknown as PeerMessageDeps;
+  peers.received.subscribe((received) => {
+    if (received.message.kind === 'ask') handlePeerMessage(deps, received);
+  });
+  peers.start();
+  return { process, peers, requests, answerQueries: () => queries.splice(0).forEach((answer) => answer()) };
+}
+
+/** A frame that forwards the query of a job. */
+const queryFrame = (id: number, job: JobId): PeerMessage => ({
+  ...{ kind: 'ask', id, op: 'query', body: JSON.stringify({ op: 'query', id: job }) },
+});
+
+const receivedAnswers = ({ peers }: TestNode): number => peers.traffic.received['answer']?.frames ?? 0;
+
+/** The job that a user is shown, or else the status of the answer. */
+async function shownJob(lab: SimulationHarness, answer: Promise<{ status: number; body: unknown }>): Promise<unknown> {
+  const { status, body } = await lab.runUntilSettled(answer);
+  return status === 200 ? (body as { ref: unknown }).ref : status;
+}
+
+// Guards against accepted jobs being forgotten: a user was told of a job that another user had submitted to the process
+// that ran at this address before.
+test('the answer to a request of an ended process never reaches the user of the process that follows it', async () => {
+  const lab = new SimulationHarness();
+  const answerer = startNode(lab, ANSWERER, lab.process('10.0.1.2'), true);
+  const ended = startNode(lab, ASKER, lab.process('10.0.1.1'), false);
+  await lab.advance(RECONNECT_MS);
+  void ended.requests.serve({ op: 'query', id: FIRST_JOB });
+  await lab.advance(DELIVERY_MS);
+  ended.process.kill();
+  const asker = startNode(lab, ASKER, lab.restart(ended.process), false);
+  await lab.advance(RECONNECT_MS);
+  // The answer to the ended process is sent while the process that follows it waits for an answer of its own.
+  const answer = asker.requests.serve({ op: 'query', id: SECOND_JOB });
+  await lab.advance(DELIVERY_MS);
+  answerer.answerQueries();
+  assert.equal(await shownJob(lab, answer), SECOND_JOB);
+});
+
+// Guards against the same fault where only the asking controller is of an earlier release, which numbers the requests of
+// each of its processes from 1.
+test('an answer is not sent to another process than the one that asked, even if the request ids are the same', async () => {
+  const lab = new SimulationHarness();
+  const answerer = startNode(lab, ANSWERER, lab.process('10.0.1.2'), true);
+  const ended = startNode(lab, ASKER, lab.process('10.0.1.1'), false);
+  await lab.advance(RECONNECT_MS);
+  ended.peers.send(ANSWERER, queryFrame(1, FIRST_JOB));
+  await lab.advance(DELIVERY_MS);
+  ended.process.kill();
+  const asker = startNode(lab, ASKER, lab.restart(ended.process), false);
+  await lab.advance(RECONNECT_MS);
+  answerer.answerQueries();
+  await lab.advance(DELIVERY_MS);
+  assert.equal(answerer.peers.forwarding.undeliverableAnswers, 1);
+  assert.equal(receivedAnswers(asker), 0);
+  // A request of the later process is answered, whatever its id.
+  asker.peers.send(ANSWERER, queryFrame(1, SECOND_JOB));
+  await lab.advance(DELIVERY_MS);
+  answerer.answerQueries();
+  await lab.advance(DELIVERY_MS);
+  assert.equal(receivedAnswers(asker), 1);
+});
+
+// Guards against the same fault where only the answering controller is of an earlier release, which answers whatever
+// process runs at the address of the one that asked.
+test('request ids of a process are not those of the process before it, and another peer cannot answer a request', async () => {
+  const lab = new SimulationHarness();
+  const answerer = startNode(lab, ANSWERER, lab.process('10.0.1.2'), true);
+  const bystander = startNode(lab, BYSTANDER, lab.process('10.0.1.3'), false);
+  const ended = startNode(lab, ASKER, lab.process('10.0.1.1'), false);
+  const ids: number[] = [];
+  answerer.peers.received.subscribe(({ message }) => {
+    if (message.kind === 'ask') ids.push(message.id);
+  });
+  await lab.advance(RECONNECT_MS);
+  void ended.requests.serve({ op: 'query', id: FIRST_JOB });
+  await lab.advance(DELIVERY_MS);
+  ended.process.kill();
+  const asker = startNode(lab, ASKER, lab.restart(ended.process), false);
+  await lab.advance(RECONNECT_MS);
+  const answer = asker.requests.serve({ op: 'query', id: SECOND_JOB });
+  await lab.advance(DELIVERY_MS);
+  const [idOfEnded, id] = ids;
+  assert.ok(idOfEnded !== undefined && id !== undefined);
+  answerer.peers.send(ASKER, { kind: 'answer', id: idOfEnded, status: 404, body: '{}' });
+  bystander.peers.send(ASKER, { kind: 'answer', id, status: 404, body: '{}' });
+  await lab.advance(DELIVERY_MS);
+  answerer.answerQueries();
+  assert.equal(await shownJob(lab, answer), SECOND_JOB);
+  assert.equal(asker.peers.forwarding.unmatchedAnswers, 2);
+});
+
+test('an answer that shows another job than the one that was asked for is refused', async () => {
+  const lab = new SimulationHarness();
+  const answerer = startNode(lab, ANSWERER, lab.process('10.0.1.2'), true);
+  const asker = startNode(lab, ASKER, lab.process('10.0.1.1'), false);
+  answerer.peers.received.subscribe(({ from, incarnation: sender, message }) => {
+    if (message.kind === 'ask')
+      answerer.peers.answerRequest(from, sender, message.id, { status: 200, body: JSON.stringify({ ref: FIRST_JOB }) });
+  });
+  await lab.advance(RECONNECT_MS);
+  assert.equal(await shownJob(lab, asker.requests.serve({ op: 'query', id: SECOND_JOB })), 503);
+  assert.ok(asker.requests.answersAboutOtherJobs > 0);
+});
