Don't take a hello for the proof that a previous holder has ended

What could happen: a claimant took a hello of any other incarnation of the previous holder's node for proof that the holder had ended. A hello of the process before the holder can arrive late, on a connection whose packets were held. The holder was then no longer asked to stop, and the leases of its silent machines counted from that moment, while it might still renew them.

Cause: a hello tells nothing about which of two incarnations is the later one.

Fix: only the node's key in the state service proves it, as of the claim or later: it names the holder or a later incarnation. Otherwise the node is asked to stop; a later incarnation confirms that at once, and the confirmation names the claim, so it can't be older.

--- a/src/service/index.ts
+++ b/src/service/index.ts
@@ -3,3 +3,4 @@
 export { HealthCheck, type HealthInputs } from './health-check.js';
 export { handlePeerMessage, type PeerMessageDeps } from './peer-messages.js';
 export { UserRequestHandler, type UserRequest } from './user-requests.js';
+export { ShardOwnership, type OwnershipDeps } from './shard-ownership.js';
--- a/src/service/shard-ownership.ts
+++ b/src/service/shard-ownership.ts
@@ -194,9 +194,11 @@
       this.cancelLeaving('this node was not shut down in time');
     for (const [shard, holder] of this.holders) {
       for (const { node, incarnation: earlierIncarnation } of holder.unconfirmedPreviousHolders) {
-        const currentIncarnation = peers.statusOf(node)?.incarnation ?? this.deps.membership().liveIncarnationOf(node);
-        // A later incarnation of that node proves that the earlier one has ended.
-        if (currentIncarnation !== null && currentIncarnation !== earlierIncarnation) holder.confirmStopped(node);
+        // The node's key, as of the claim or later, names the holder or a later incarnation, which proves that the holder
+        // has ended. A hello proves nothing: one of an incarnation before the holder may arrive late. A later incarnation
+        // confirms the request at once.
+        const liveIncarnation = this.deps.membership().liveIncarnationOf(node);
+        if (liveIncarnation !== null && liveIncarnation !== earlierIncarnation) holder.confirmStopped(node);
         else peers.send(node, { kind: 'standdown', shard, version: holder.claimedAt });
       }
       const reason = this.leaving
