Forward jobs with dependencies only to the process that announced the feature

Found by reading, on the search for the same cause on related paths: a request that is addressed by node name reaches another process than the one that it was meant for.

What could happen: the latest hello of a node counts for three seconds. A controller that ended was replaced by a release that knows no dependencies; a peer whose connection already led there, and that had not heard the new process yet, forwarded a job with dependencies to it. That release drops them and starts the job too early.

Fix: such a job is forwarded only if the hello is of the process at the other end of the connection, as its welcome says.

Test: test/forwarded-requests.test.ts, fails without the change (the next process gets the request).

--- a/src/peers/peer-transport.ts
+++ b/src/peers/peer-transport.ts
@@ -140,6 +140,16 @@
     return status && this.runtime.now() - status.lastHelloAt <= withinMs ? status : null;
   }
 
+  /**
+   * Whether the process that frames to a peer go to has announced a feature itself. The latest hello may be of a process
+   * before it, of another release.
+   */
+  supportsFeature(node: NodeName, feature: string): boolean {
+    const status = this.statusOf(node);
+    const connectedTo = this.peers.find((peer) => peer.node === node)?.incarnation;
+    return status !== null && status.incarnation === connectedTo && status.features.includes(feature);
+  }
+
   /** Number of frames skipped because their version or kind is unknown to this program. */
   get skippedFrames(): number {
     return this.skippedCount;
--- a/src/service/user-requests.ts
+++ b/src/service/user-requests.ts
@@ -1,6 +1,6 @@
 import { PIPELINES } from '../rollout/index.js';
 import { encodeJobView, parseJobId, type JobRegistry, type JobSpec, type JobRequestOutcome } from '../jobs/index.js';
-import { isObject, type JobId, type NodeName } from '../kernel/index.js';
+import { isObject, type JobId } from '../kernel/index.js';
 import type { ForwardedAnswer, ForwardedOperation, PeerTransport } from '../peers/index.js';
 
 /** A request of a user. */
@@ -96,10 +96,11 @@
   private async forward(request: UserRequest): Promise<UserResponse | null> {
     // A release that does not know `awaits` would drop the dependencies and start the job too early.
     const hasDependencies = request.op === 'submit' && (request.awaits?.length ?? 0) > 0;
-    const peer = this.peers.peerNames.find((node: NodeName) => {
-      const status = this.peers.statusOf(node);
-      return status?.stateOk === true && (!hasDependencies || status.features.includes(PIPELINES));
-    });
+    const peer = this.peers.peerNames.find(
+      (node) =>
+        this.peers.statusOf(node)?.stateOk === true &&
+        (!hasDependencies || this.peers.supportsFeature(node, PIPELINES)),
+    );
     if (peer === undefined) return null;
     const response = await this.peers.forwardRequest(peer, request.op, JSON.stringify(request), FORWARD_TIMEOUT_MS);
     if (!response || response.status === 503) return null;
--- a/test/forwarded-requests.test.ts
+++ b/test/forwarded-requests.test.ts
@@ -1,8 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { JobRegistry, JobRequestOutcome } from '../src/jobs/index.js';
+import type { JobRegistry, JobRequestOutcome, JobSpec } from '../src/jobs/index.js';
 import { incarnation, jobId, nodeName, type JobId, type NodeName } from '../src/kernel/index.js';
 import { PeerTransport, type PeerCondition, type PeerMessage } from '../src/peers/index.js';
+import { PIPELINES } from '../src/rollout/index.js';
 import { handlePeerMessage, UserRequestHandler, type PeerMessageDeps } from '../src/service/index.js';
 import type { SimProcess } from '../packages/region/src/index.js';
 import { SimulationHarness } from '../packages/region/test/simulation-harness.js';
@@ -18,6 +19,8 @@
 const [FIRST_JOB, SECOND_JOB] = [jobId('j-000001'), jobId('j-000002')];
 /** Long enough for a lost connection to be noticed and opened again. */
 const RECONNECT_MS = 3000;
+/** Long enough for a connection to an ended process to be replaced, and shorter than its last hello counts. */
+const RECONNECT_DELAY_MS = 1500;
 /** Long enough for a frame to arrive, and shorter than the longest wait for an answer. */
 const DELIVERY_MS = 200;
 
@@ -30,17 +33,39 @@
   answerQueries(): void;
 }
 
-const condition = (stateOk: boolean): PeerCondition => ({
-  ...{ stateOk, fit: true, leaving: false, release: 1, features: [], limitsFallen: false },
+const condition = (stateOk: boolean, features: readonly string[]): PeerCondition => ({
+  ...{ stateOk, fit: true, leaving: false, release: 1, features, limitsFallen: false },
 });
 
-/** Starts the process of a node. `process` is that of its earlier incarnation, whose host it runs on. */
-function startNode(lab: SimulationHarness, name: NodeName, process: SimProcess, stateOk: boolean): TestNode {
+/** How a node differs from one that connects to all others and supports no features. */
+interface NodeOptions {
+  readonly features?: readonly string[];
+  readonly connectsTo?: readonly NodeName[];
+}
+
+/** Starts a process of a node. */
+function startNode(
+  lab: SimulationHarness,
+  name: NodeName,
+  process: SimProcess,
+  stateOk: boolean,
+  { features = [], connectsTo = [...ADDRESSES.keys()] }: NodeOptions = {},
+): TestNode {
   const address = ADDRESSES.get(name);
   assert.ok(address);
-  const seeds = [...ADDRESSES].filter(([node]) => node !== name).map(([node, at]) => ({ node, address: at }));
+  const seeds = [...ADDRESSES]
+    .filter(([node]) => node !== name && connectsTo.includes(node))
+    .map(([node, at]) => ({ node, address: at }));
   const ownIncarnation = incarnation(process.uniqueId());
-  const peers = new PeerTransport(name, ownIncarnation, address, seeds, () => condition(stateOk), process, lab.log);
+  const peers = new PeerTransport(
+    name,
+    ownIncarnation,
+    address,
+    seeds,
+    () => condition(stateOk, features),
+    process,
+    lab.log,
+  );
   const queries: (() => void)[] = [];
   const query = (id: JobId): Promise<JobRequestOutcome> =>
     stateOk
@@ -48,8 +73,14 @@
           queries.push(() => resolve({ kind: 'known', view: { id, phase: 'running', done: 0, running: 1 } })),
         )
       : Promise.resolve({ kind: 'later', reason: 'no state service' });
+  const submit = ({ id }: JobSpec): Promise<JobRequestOutcome> =>
+    Promise.resolve(
+      stateOk
+        ? { kind: 'created', view: { id, phase: 'queued', done: 0, running: 0 } }
+        : { kind: 'later', reason: 'no state service' },
+    );
   const requests = new UserRequestHandler(
-    { query } as unknown as JobRegistry,
+    { query, submit } as unknown as JobRegistry,
     peers,
     () => true,
     () => stateOk,
@@ -69,6 +100,8 @@
 
 const receivedAnswers = ({ peers }: TestNode): number => peers.traffic.received['answer']?.frames ?? 0;
 
+const receivedAsks = ({ peers }: TestNode): number => peers.traffic.received['ask']?.frames ?? 0;
+
 /** The job that a user is shown, or else the status of the answer. */
 async function shownJob(lab: SimulationHarness, answer: Promise<{ status: number; body: unknown }>): Promise<unknown> {
   const { status, body } = await lab.runUntilSettled(answer);
@@ -159,3 +192,22 @@
   assert.equal(await shownJob(lab, asker.requests.serve({ op: 'query', id: SECOND_JOB })), 503);
   assert.ok(asker.requests.answersAboutOtherJobs > 0);
 });
+
+// Guards against a job that starts before the jobs that it awaits: a release that knows no dependencies drops them.
+test('a job with dependencies is forwarded only to the process that has announced that it supports them', async () => {
+  const lab = new SimulationHarness();
+  const asker = startNode(lab, ASKER, lab.process('10.0.1.1'), false);
+  const earlier = startNode(lab, ANSWERER, lab.process('10.0.1.2'), true, { features: [PIPELINES] });
+  await lab.advance(RECONNECT_MS);
+  const spec = { id: SECOND_JOB } as JobSpec;
+  const submit = { op: 'submit', spec, awaits: [FIRST_JOB] } as const;
+  assert.equal((await lab.runUntilSettled(asker.requests.serve(submit))).status, 201);
+  earlier.process.kill();
+  // The next process is of another release. It can be reached, but its hello has not arrived yet.
+  const next = startNode(lab, ANSWERER, lab.restart(earlier.process), true, { connectsTo: [] });
+  await lab.advance(RECONNECT_DELAY_MS);
+  assert.equal((await lab.runUntilSettled(asker.requests.serve(submit))).status, 503);
+  assert.equal(receivedAsks(next), 0);
+  await lab.runUntilSettled(asker.requests.serve({ op: 'submit', spec }));
+  assert.ok(receivedAsks(next) > 0);
+});
