Record only those starts of a round that its command carries

Cause: a command carries 200 orders. Of a round's orders for one machine the sender took the first 200 and dropped the others, after all starts had been recorded as possibly there. A recorded start is settled by the answer to the command that carries it, by a higher token or by a new session; a dropped one by nothing.

Fix: the holder records only what the command carries, starts first: a plan has 200 at most, and stops are repeated anyway. What is not carried is ordered again by the next round.

--- a/src/holder/shard-holder.ts
+++ b/src/holder/shard-holder.ts
@@ -16,7 +16,7 @@
 } from '../kernel/index.js';
 import type { Change } from '../state/index.js';
 import type { MachineSummary, ShardSummary } from '../peers/index.js';
-import type { Order } from '../workers/index.js';
+import { nextCommandOrders, type Order } from '../workers/index.js';
 import type { TeamNeed } from '../quota/index.js';
 import { keepsGpuMachineInUse } from './booking.js';
 import type { HeldMachine } from './held-machine.js';
@@ -169,12 +169,14 @@
   /**
    * Sends orders to a worker, or an empty command as a probe when it is unfenced or silent or sends only stale messages.
    */
-  private sendOrders(machine: HeldMachine, orders: Order[], now: Millis): void {
+  private sendOrders(machine: HeldMachine, wanted: readonly Order[], now: Millis): void {
     const { tracker, commandSender } = machine;
     if (machine.isMissing) return;
     const silent = now - tracker.lastMessageAt > 1.4 * this.deps.settings.workers.reportMs;
-    if (orders.length === 0 && tracker.fenced && !tracker.needsProbe && !(silent && !machine.lost)) return;
+    if (wanted.length === 0 && tracker.fenced && !tracker.needsProbe && !(silent && !machine.lost)) return;
     if (!commandSender.ready()) return;
+    // What is not sent is not recorded either, so that a later round orders it again.
+    const orders = nextCommandOrders(wanted);
     for (const order of orders) {
       if (order.op === 'start') tracker.recordStart(order.key, order.attempt);
       else machine.stopSentAt.set(order.key, now);
--- a/src/workers/command-sender.ts
+++ b/src/workers/command-sender.ts
@@ -17,6 +17,17 @@
 /** Error codes of a process that has run out of sockets or ports. */
 const LOCAL_SOCKET_ERROR = /\b(?:EMFILE|ENFILE|EADDRNOTAVAIL|ENOBUFS)\b/;
 
+/**
+ * The orders that the next command to a worker carries. Starts go first: the room that they take was planned for, while
+ * stops are repeated anyway. The caller must not take the others for sent.
+ */
+export function nextCommandOrders(orders: readonly Order[]): readonly Order[] {
+  if (orders.length <= MAX_ORDERS_PER_COMMAND) return orders;
+  const starts = orders.filter(({ op }) => op === 'start');
+  const others = orders.filter(({ op }) => op !== 'start');
+  return [...starts, ...others].slice(0, MAX_ORDERS_PER_COMMAND);
+}
+
 /** Callbacks of a command sender. */
 export interface CommandSenderHooks {
   /** Called when the worker has answered with a token not above this holder's. */
@@ -81,20 +92,21 @@
     this.client = undefined;
   }
 
-  /** Sends orders as one command. Their starts must have been recorded in the tracker before. */
+  /**
+   * Sends all orders as one command; see `nextCommandOrders`. Their starts must have been recorded in the tracker before.
+   */
   async send(orders: readonly Order[]): Promise<void> {
     const client = this.client;
     if (!client || this.busy) return;
-    const batch = orders.slice(0, MAX_ORDERS_PER_COMMAND);
-    const starts = batch.filter((o) => o.op === 'start').map((o) => o.key);
+    const starts = orders.filter((o) => o.op === 'start').map((o) => o.key);
     const sent = this.tracker.position;
     this.busy = true;
     try {
       const answer = await client.call({
         method: 'POST',
         path: '/commands',
-        body: encodeCommands(this.tracker.token, this.tracker.session, batch),
-        timeoutMs: batch.length > 0 ? COMMAND_TIMEOUT_MS : PROBE_TIMEOUT_MS,
+        body: encodeCommands(this.tracker.token, this.tracker.session, orders),
+        timeoutMs: orders.length > 0 ? COMMAND_TIMEOUT_MS : PROBE_TIMEOUT_MS,
       });
       const message = answer.kind === 'answered' ? decodeWorkerMessage(answer.body) : null;
       if (answer.kind === 'failed' || !message || (answer.status !== 200 && answer.status !== 409)) {
