List the tasks of waiting gangs without memory of their own

Cause: in each round the placer lists the tasks that are ready of every waiting job, and keeps the lists until the plan is made. A gang's list has all of its tasks: 0.8 MB for 100,000, of 64 MB, in each round.

Fix: all tasks of a gang that waits are ready, so the lists are views of one array of ascending numbers, as long as the largest gang.

--- a/src/holder/job-run.ts
+++ b/src/holder/job-run.ts
@@ -10,6 +10,7 @@
 } from '../kernel/index.js';
 import type { JobRecord, JobSpec } from '../jobs/index.js';
 import { withInheritedConstraints, type InheritedConstraints } from '../pipelines/index.js';
+import { lowestIndices, type TaskIndices } from '../placement/index.js';
 import type { Pipelines } from './deps.js';
 import { median } from '../speculation/index.js';
 import type { TaskState } from '../workers/index.js';
@@ -216,9 +217,14 @@
     return new Set(this.avoid.keys());
   }
 
-  /** The lowest task indices, at most `most`, that are neither done nor possibly on a machine. */
-  ready(most: number): number[] {
-    const { tasks } = this.spec;
+  /**
+   * The lowest task indices, at most `most`, that are neither done nor possibly on a machine. Those of a waiting gang
+   * take no memory of their own: all of its tasks are ready, and many large gangs may wait at the same time.
+   */
+  ready(most: number): TaskIndices {
+    const { tasks, kind } = this.spec;
+    const isWaitingGang = kind === 'gang' && this.done.count === 0 && this.active.size === 0;
+    if (isWaitingGang) return lowestIndices(Math.min(most, tasks));
     while (this.firstUndoneIndex < tasks && this.done.has(this.firstUndoneIndex)) this.firstUndoneIndex += 1;
     const ready: number[] = [];
     for (let index = this.firstUndoneIndex; index < tasks && ready.length < most; index++) {
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -10,8 +10,10 @@
   PlannedStop,
   GpuReserve,
   PreemptableTask,
+  TaskIndices,
   TeamUse,
   UnplacedTasks,
 } from './model.js';
+export { lowestIndices } from './model.js';
 export { planPlacement } from './plan.js';
 export { slackOf, type ClassObjective, type Slack } from './slack.js';
--- a/src/placement/model.ts
+++ b/src/placement/model.ts
@@ -46,11 +46,23 @@
   readonly stopping: boolean;
 }
 
+/** Ascending indices of tasks of a job. */
+export type TaskIndices = readonly number[] | Uint32Array;
+
+/** The numbers from 0, as many as the largest job so far needed. */
+let ascending = new Uint32Array(0);
+
+/** The `count` lowest task indices. All results share one buffer, which must not be written to. */
+export function lowestIndices(count: number): TaskIndices {
+  if (ascending.length < count) ascending = Uint32Array.from({ length: count }, (_, index) => index);
+  return ascending.subarray(0, count);
+}
+
 /** A job with tasks that are ready to start. */
 export interface PendingJob {
   readonly spec: JobSpec;
   /** Indices of the tasks that may start now, lowest first; a gang lists all of its tasks or none. */
-  readonly ready: readonly number[];
+  readonly ready: TaskIndices;
   /** Number of the job's tasks that may be running, by zone. */
   readonly zoneUse: ReadonlyMap<string, number>;
   /** The same by machine. */
--- a/src/placement/preempt.ts
+++ b/src/placement/preempt.ts
@@ -19,6 +19,7 @@
   type PlannedStart,
   type PlannedStop,
   type PlanMachine,
+  type TaskIndices,
 } from './model.js';
 
 /** Whether the job's replicas need no GPUs and have already waited too long. */
@@ -28,7 +29,7 @@
 /** Replicas of a service that have waited too long and found no room. */
 export interface LateReplicas {
   readonly job: PendingJob;
-  readonly indices: readonly number[];
+  readonly indices: TaskIndices;
 }
 
 /**
