One builder of machines and waiting jobs for the tests of placement

Five tests built the same machine view and pending job each by themselves. The values of every test are as before; no case or check changes.

--- a/test/faulty-jobs.test.ts
+++ b/test/faulty-jobs.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { spec } from './standins/jobs.js';
+import { machineView, pendingJob } from './standins/placement.js';
 import { HeldMachine, JobRun } from '../src/holder/index.js';
 import {
   BitSet,
@@ -84,38 +85,9 @@
 });
 
 test('a job that fails on every machine preempts nothing and is placed after all other jobs', () => {
-  const view: MachineView = {
-    id: m(1),
-    type: 'small',
-    zone: 'a',
-    spot: false,
-    cpus: 1,
-    gpus: 0,
-    memoryGb: 8,
-    freeCpus: 1,
-    freeGpus: 0,
-    freeMemoryGb: 8,
-    usable: true,
-    images: [],
-    fetchGbPerS: 1,
-    fetching: 0,
-    cpuPrice: 0.1,
-    suspicion: 0,
-    running: [],
-  };
-  const pending = (over: Partial<PendingJob>, job: Parameters<typeof spec>[0]): PendingJob => ({
-    spec: spec({ ...job, tasks: 1 }),
-    ready: [0],
-    zoneUse: new Map(),
-    machineUse: new Map(),
-    avoid: new Set(),
-    slackS: 60,
-    lastSlackS: 60,
-    aimed: true,
-    suspect: false,
-    workS: 1,
-    ...over,
-  });
+  const view = machineView('m-1', { cpus: 1, freeCpus: 1 });
+  const pending = (over: Partial<PendingJob>, job: Parameters<typeof spec>[0]): PendingJob =>
+    pendingJob(spec({ ...job, tasks: 1 }), { workS: 1, ...over });
   const plan = (machine: MachineView, jobs: PendingJob[]): ReturnType<typeof planPlacement> =>
     planPlacement({ machines: [machine], pending: jobs, teams: new Map(), maxStarts: 10, reserve: null });
   const suspect = pending({ suspect: true }, { id: 'j-1', kind: 'service', priority: 3 });
--- a/test/forwarded-requests.test.ts
+++ b/test/forwarded-requests.test.ts
@@ -93,6 +93,14 @@
   return { process, peers, requests, answerQueries: () => queries.splice(0).forEach((answer) => answer()) };
 }
 
+/** Ends the asking process and starts the next one, which the others then reach. */
+async function replaceAsker(lab: SimulationHarness, ended: TestNode): Promise<TestNode> {
+  ended.process.kill();
+  const asker = startNode(lab, ASKER, lab.restart(ended.process), false);
+  await lab.advance(RECONNECT_MS);
+  return asker;
+}
+
 /** A frame that forwards the query of a job. */
 const queryFrame = (id: number, job: JobId): PeerMessage => ({
   ...{ kind: 'ask', id, op: 'query', body: JSON.stringify({ op: 'query', id: job }) },
@@ -117,9 +125,7 @@
   await lab.advance(RECONNECT_MS);
   void ended.requests.serve({ op: 'query', id: FIRST_JOB });
   await lab.advance(DELIVERY_MS);
-  ended.process.kill();
-  const asker = startNode(lab, ASKER, lab.restart(ended.process), false);
-  await lab.advance(RECONNECT_MS);
+  const asker = await replaceAsker(lab, ended);
   // The answer to the ended process is sent while the process that follows it waits for an answer of its own.
   const answer = asker.requests.serve({ op: 'query', id: SECOND_JOB });
   await lab.advance(DELIVERY_MS);
@@ -136,9 +142,7 @@
   await lab.advance(RECONNECT_MS);
   ended.peers.send(ANSWERER, queryFrame(1, FIRST_JOB));
   await lab.advance(DELIVERY_MS);
-  ended.process.kill();
-  const asker = startNode(lab, ASKER, lab.restart(ended.process), false);
-  await lab.advance(RECONNECT_MS);
+  const asker = await replaceAsker(lab, ended);
   answerer.answerQueries();
   await lab.advance(DELIVERY_MS);
   assert.equal(answerer.peers.forwarding.undeliverableAnswers, 1);
@@ -165,9 +169,7 @@
   await lab.advance(RECONNECT_MS);
   void ended.requests.serve({ op: 'query', id: FIRST_JOB });
   await lab.advance(DELIVERY_MS);
-  ended.process.kill();
-  const asker = startNode(lab, ASKER, lab.restart(ended.process), false);
-  await lab.advance(RECONNECT_MS);
+  const asker = await replaceAsker(lab, ended);
   const answer = asker.requests.serve({ op: 'query', id: SECOND_JOB });
   await lab.advance(DELIVERY_MS);
   const [idOfEnded, id] = ids;
--- a/test/large-gangs.test.ts
+++ b/test/large-gangs.test.ts
@@ -3,10 +3,11 @@
 import { test } from 'node:test';
 import { isMainThread, parentPort, Worker, workerData } from 'node:worker_threads';
 import { spec } from './standins/jobs.js';
+import { machineView, pendingJob } from './standins/placement.js';
 import { JobRun } from '../src/holder/index.js';
 import type { JobSpec } from '../src/jobs/index.js';
-import { BitSet, machineId, millis, revision, shardName, wallMillis } from '../src/kernel/index.js';
-import { planPlacement, type MachineView, type PendingJob } from '../src/placement/index.js';
+import { BitSet, millis, revision, shardName, wallMillis } from '../src/kernel/index.js';
+import { planPlacement, type PendingJob } from '../src/placement/index.js';
 
 /** The most tasks that a job may have. */
 const LARGEST_JOB_TASKS = 100_000;
@@ -15,11 +16,7 @@
 const HEAP_MB = 64;
 const ROUNDS = 3;
 
-const room: MachineView = {
-  ...{ id: machineId('m-1'), type: 'small', zone: 'a', spot: false, cpus: 4, gpus: 0, memoryGb: 8 },
-  ...{ freeCpus: 4, freeGpus: 0, freeMemoryGb: 8, usable: true, images: [], fetchGbPerS: 1, fetching: 0 },
-  ...{ cpuPrice: 0.1, suspicion: 0, running: [] },
-};
+const room = machineView('m-1');
 
 const runOf = (job: JobSpec): JobRun => {
   const record = { shard: shardName('s'), submittedAt: wallMillis(0), done: BitSet.empty(job.tasks), awaits: [] };
@@ -30,10 +27,7 @@
 const gang = (number: number): JobRun =>
   runOf(spec({ id: `j-${number}`, kind: 'gang', tasks: LARGEST_JOB_TASKS - number }));
 
-const pendingOf = (run: JobRun): PendingJob => ({
-  ...{ spec: run.spec, ready: run.ready(run.spec.tasks), zoneUse: new Map(), machineUse: new Map() },
-  ...{ avoid: new Set(), slackS: 60, lastSlackS: 60, aimed: true, suspect: false, workS: 10 },
-});
+const pendingOf = (run: JobRun): PendingJob => pendingJob(run.spec, { ready: run.ready(run.spec.tasks) });
 
 /** Plans rounds of placement with many large gangs waiting; returns the number of tasks that wait. */
 function planRounds(): number {
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -2,7 +2,8 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { spec } from './standins/jobs.js';
-import { jobId, machineId, type MachineId } from '../src/kernel/index.js';
+import { machineView, pendingJob } from './standins/placement.js';
+import { jobId, machineId } from '../src/kernel/index.js';
 import { Priority, maxTasksPerZone, type JobKind, type JobSpec } from '../src/jobs/index.js';
 import {
   planPlacement,
@@ -12,45 +13,6 @@
   type PreemptableTask,
 } from '../src/placement/index.js';
 
-function machine(id: string, over: Partial<MachineView> = {}): MachineView {
-  return {
-    id: machineId(id),
-    type: 'small',
-    zone: 'a',
-    spot: false,
-    cpus: 4,
-    gpus: 0,
-    memoryGb: 8,
-    freeCpus: 4,
-    freeGpus: 0,
-    freeMemoryGb: 8,
-    usable: true,
-    images: [],
-    fetchGbPerS: 1,
-    fetching: 0,
-    cpuPrice: 0.1,
-    suspicion: 0,
-    running: [],
-    ...over,
-  };
-}
-
-function pending(s: JobSpec, over: Partial<PendingJob> = {}): PendingJob {
-  return {
-    spec: s,
-    ready: Array.from({ length: s.tasks }, (_, i) => i),
-    zoneUse: new Map(),
-    machineUse: new Map(),
-    avoid: new Set<MachineId>(),
-    slackS: 60,
-    lastSlackS: 60,
-    aimed: true,
-    suspect: false,
-    workS: 10,
-    ...over,
-  };
-}
-
 const input = (machines: MachineView[], jobs: PendingJob[], over: Partial<PlanInput> = {}): PlanInput => ({
   machines,
   pending: jobs,
@@ -61,11 +23,11 @@
 });
 
 test('an array that has waited long starts one task in room that is kept for GPU tasks', () => {
-  const gpuMachine = machine('m-gpu', { type: 'gpu', gpus: 2, freeGpus: 2, freeCpus: 4, freeMemoryGb: 8 });
+  const gpuMachine = machineView('m-gpu', { type: 'gpu', gpus: 2, freeGpus: 2, freeCpus: 4, freeMemoryGb: 8 });
   const reserve = { cpus: 4, memoryGb: 8 };
-  const full = machine('m-full', { freeCpus: 0 });
+  const full = machineView('m-full', { freeCpus: 0 });
   const starts = (waitedS: number, over: Partial<JobSpec> = {}, more: Partial<PlanInput> = {}): number[] => {
-    const job = pending(spec({ id: 'j-1', tasks: 3, ...over }), { waitedS });
+    const job = pendingJob(spec({ id: 'j-1', tasks: 3, ...over }), { waitedS });
     return planPlacement(input([gpuMachine, full], [job], { reserve, ...more })).starts.map(({ index }) => index);
   };
   assert.deepEqual(starts(59), []);
@@ -78,7 +40,7 @@
   const teams = new Map([['t', { cpus: 4, gpus: 0, cpusMax: 4, gpusMax: 0 }]]);
   assert.deepEqual(starts(60, {}, { teams }), []);
   // The task that starts is not counted as unplaced.
-  const job = pending(spec({ id: 'j-1', tasks: 3 }), { waitedS: 60 });
+  const job = pendingJob(spec({ id: 'j-1', tasks: 3 }), { waitedS: 60 });
   const { unplaced } = planPlacement(input([gpuMachine, full], [job], { reserve }));
   assert.deepEqual(unplaced, [{ job: 'j-1', count: 2 }]);
 });
@@ -218,9 +180,9 @@
         const result = checkAgainstModel(
           input(
             machines.map((m, i) =>
-              machine(`m${i}`, { ...m, cpus: 8, gpus: m.freeGpus, memoryGb: 12, running: [victim(i)] }),
+              machineView(`m${i}`, { ...m, cpus: 8, gpus: m.freeGpus, memoryGb: 12, running: [victim(i)] }),
             ),
-            specs.map((s, i) => pending(spec({ id: `j-${i}`, ...s }), { waitedS: waits[i] ?? 0 })),
+            specs.map((s, i) => pendingJob(spec({ id: `j-${i}`, ...s }), { waitedS: waits[i] ?? 0 })),
             { teams: limit > 0 ? new Map([['t', { cpus: 1, gpus: 0, cpusMax: limit, gpusMax: 0 }]]) : new Map() },
           ),
         );
@@ -244,15 +206,15 @@
     lossS: 1,
     stopping: false,
   };
-  const full = machine('m0', { freeCpus: 0, freeMemoryGb: 4, running: [low] });
-  const service = pending(spec({ id: 'j-s', kind: 'service', priority: Priority.production, cpus: 2 }));
+  const full = machineView('m0', { freeCpus: 0, freeMemoryGb: 4, running: [low] });
+  const service = pendingJob(spec({ id: 'j-s', kind: 'service', priority: Priority.production, cpus: 2 }));
   const plan = planPlacement(input([full], [service]));
   assert.deepEqual(plan.stops, [{ job: 'j-low', index: 0, machine: 'm0', forJob: 'j-s', atOnce: true }]);
   assert.deepEqual(plan.unplaced, []);
   // In the next round the room is being released, so nothing more is stopped.
   const again = planPlacement(input([{ ...full, running: [{ ...low, stopping: true }] }], [service]));
   assert.deepEqual(again.stops, []);
-  const gang = pending(spec({ id: 'j-g', kind: 'gang', priority: Priority.normal, cpus: 2, tasks: 2 }));
+  const gang = pendingJob(spec({ id: 'j-g', kind: 'gang', priority: Priority.normal, cpus: 2, tasks: 2 }));
   const forGang = planPlacement(input([full], [gang]));
   assert.deepEqual(
     forGang.stops.map((s) => s.atOnce),
@@ -262,8 +224,8 @@
 
 test('a job is not placed on a machine where it failed, even if no other machine has room', () => {
   // Guards against a machine that failed the same task three times in 40 ms.
-  const job = pending(spec({ id: 'j-a' }), { avoid: new Set([machineId('m0')]) });
-  assert.deepEqual(planPlacement(input([machine('m0')], [job])).starts, []);
+  const job = pendingJob(spec({ id: 'j-a' }), { avoid: new Set([machineId('m0')]) });
+  assert.deepEqual(planPlacement(input([machineView('m0')], [job])).starts, []);
 });
 
 test('an array preempts nothing, and a replica stays off GPU machines even if the other machines are full', () => {
@@ -271,14 +233,14 @@
     ...{ job: jobId('j-low'), index: 0, priority: Priority.low },
     ...{ cpus: 4, gpus: 0, memoryGb: 4, lossS: 1, stopping: false },
   };
-  const full = machine('m0', { freeCpus: 0, running: [low] });
-  assert.deepEqual(planPlacement(input([full], [pending(spec({ id: 'j-a' }))])).stops, []);
-  const busyGpu = machine('m0', { gpus: 2, freeGpus: 0, images: ['i'] });
-  const service = pending(spec({ id: 'j-s', kind: 'service', priority: Priority.production }));
-  const chosen = planPlacement(input([busyGpu, machine('m1')], [service])).starts.map((s) => s.machine);
+  const full = machineView('m0', { freeCpus: 0, running: [low] });
+  assert.deepEqual(planPlacement(input([full], [pendingJob(spec({ id: 'j-a' }))])).stops, []);
+  const busyGpu = machineView('m0', { gpus: 2, freeGpus: 0, images: ['i'] });
+  const service = pendingJob(spec({ id: 'j-s', kind: 'service', priority: Priority.production }));
+  const chosen = planPlacement(input([busyGpu, machineView('m1')], [service])).starts.map((s) => s.machine);
   assert.deepEqual(chosen, ['m1']);
   // Guards against GPU machines that could not be given back because each ran one replica.
-  const fullMachines = [busyGpu, machine('m1', { freeCpus: 0 })];
+  const fullMachines = [busyGpu, machineView('m1', { freeCpus: 0 })];
   assert.deepEqual(planPlacement(input(fullMachines, [service])).starts, []);
   // Nothing is preempted on a GPU machine for a replica that may not go there.
   const beside = {
@@ -292,7 +254,7 @@
     stopping: false,
   };
   const borrowed = { ...busyGpu, freeCpus: 0, running: [beside] };
-  const waits = planPlacement(input([borrowed, machine('m1', { freeCpus: 0 })], [service]));
+  const waits = planPlacement(input([borrowed, machineView('m1', { freeCpus: 0 })], [service]));
   assert.deepEqual([waits.stops, waits.unplaced.length], [[], 1]);
   // Guards against replicas that waited for minutes in a shard whose machines without GPUs were full of other replicas.
   const late = planPlacement(input(fullMachines, [{ ...service, slackS: -1 }]));
@@ -301,13 +263,13 @@
 
 test('under overload short jobs go first, and jobs that have missed all objectives go last', () => {
   const jobs = [
-    pending(spec({ id: 'j-long' }), { workS: 900 }),
-    pending(spec({ id: 'j-late' }), { workS: 1, slackS: -9, lastSlackS: -9 }),
-    pending(spec({ id: 'j-short' }), { workS: 20 }),
-    pending(spec({ id: 'j-urgent' }), { workS: 900, lastSlackS: 10 }),
-    pending(spec({ id: 'j-whenever' }), { workS: 1, lastSlackS: 900, aimed: false }),
+    pendingJob(spec({ id: 'j-long' }), { workS: 900 }),
+    pendingJob(spec({ id: 'j-late' }), { workS: 1, slackS: -9, lastSlackS: -9 }),
+    pendingJob(spec({ id: 'j-short' }), { workS: 20 }),
+    pendingJob(spec({ id: 'j-urgent' }), { workS: 900, lastSlackS: 10 }),
+    pendingJob(spec({ id: 'j-whenever' }), { workS: 1, lastSlackS: 900, aimed: false }),
   ];
-  const plan = planPlacement(input([machine('m0', { freeCpus: 3 })], jobs));
+  const plan = planPlacement(input([machineView('m0', { freeCpus: 3 })], jobs));
   assert.deepEqual(
     plan.starts.map((s) => s.job),
     ['j-urgent', 'j-short', 'j-long'],
@@ -315,30 +277,30 @@
 });
 
 test('machines with free GPUs take other work only if it can be preempted cheaply or leaves the reserve free', () => {
-  const gpuMachine = machine('m0', { freeGpus: 2, gpus: 2 });
-  const plain = planPlacement(input([gpuMachine], [pending(spec({ id: 'j-a' }))]));
+  const gpuMachine = machineView('m0', { freeGpus: 2, gpus: 2 });
+  const plain = planPlacement(input([gpuMachine], [pendingJob(spec({ id: 'j-a' }))]));
   assert.equal(plain.starts.length, 0);
   const reserve = { cpus: 3, memoryGb: 4 };
-  const two = [pending(spec({ id: 'j-a' })), pending(spec({ id: 'j-b' }))];
+  const two = [pendingJob(spec({ id: 'j-a' })), pendingJob(spec({ id: 'j-b' }))];
   assert.equal(planPlacement(input([gpuMachine], two, { reserve })).starts.length, 1);
   const preemptable = spec({ id: 'j-a', priority: Priority.low, checkpointS: 15 });
-  assert.equal(planPlacement(input([gpuMachine], [pending(preemptable)])).starts.length, 1);
+  assert.equal(planPlacement(input([gpuMachine], [pendingJob(preemptable)])).starts.length, 1);
 });
 
 test('a large gang near its objective accumulates free machines; smaller gangs wait, preemptable arrays do not', () => {
   // Guards against starvation of gangs of 32: smaller gangs took each machine that became free, and ever more were
   // rented.
-  const gpu = (id: string): MachineView => machine(id, { gpus: 2, freeGpus: 2, cpuPrice: 1 });
+  const gpu = (id: string): MachineView => machineView(id, { gpus: 2, freeGpus: 2, cpuPrice: 1 });
   const gang = { kind: 'gang' as const, gpus: 2, cpus: 3, oneZone: true };
   const large = (slackS: number): PendingJob =>
-    pending(spec({ ...gang, id: 'j-1', tasks: 3 }), { slackS, lastSlackS: 30 });
-  const small = pending(spec({ ...gang, id: 'j-2', tasks: 1 }));
+    pendingJob(spec({ ...gang, id: 'j-1', tasks: 3 }), { slackS, lastSlackS: 30 });
+  const small = pendingJob(spec({ ...gang, id: 'j-2', tasks: 1 }));
   const rooms = [gpu('m-1'), gpu('m-2')];
   const started = (jobs: PendingJob[]): string[] => planPlacement(input(rooms, jobs)).starts.map((s) => s.job);
   assert.deepEqual(started([large(90), small]), ['j-2']);
   assert.deepEqual(started([large(20), small]), []);
   assert.deepEqual(started([large(-1), small]), ['j-2']);
-  const borrower = pending(spec({ id: 'j-3', tasks: 1, priority: Priority.low, checkpointS: 5 }));
+  const borrower = pendingJob(spec({ id: 'j-3', tasks: 1, priority: Priority.low, checkpointS: 5 }));
   assert.deepEqual(started([large(20), small, borrower]), ['j-3']);
   // The gang holds no more machines than it needs.
   const more = [...rooms, gpu('m-3'), gpu('m-4')];
@@ -352,21 +314,23 @@
 
 test('a starved job goes first within its priority, and a starved gang accumulates machines whatever its objectives', () => {
   const gang = spec({ id: 'j-big', kind: 'gang', tasks: 3, cpus: 4 });
-  const small = Array.from({ length: 4 }, (_, i) => pending(spec({ id: `j-${i}`, kind: 'gang', tasks: 1, cpus: 4 })));
+  const small = Array.from({ length: 4 }, (_, i) =>
+    pendingJob(spec({ id: `j-${i}`, kind: 'gang', tasks: 1, cpus: 4 })),
+  );
   const late = { slackS: -300, lastSlackS: -300 };
-  const busy = machine('m-2', { freeCpus: 0 });
-  const two = [machine('m-0'), machine('m-1'), busy];
+  const busy = machineView('m-2', { freeCpus: 0 });
+  const two = [machineView('m-0'), machineView('m-1'), busy];
   const startsOf = (waitedS: number, machines: MachineView[]): string[] =>
-    planPlacement(input(machines, [pending(gang, { ...late, waitedS }), ...small])).starts.map(({ job }) => job);
+    planPlacement(input(machines, [pendingJob(gang, { ...late, waitedS }), ...small])).starts.map(({ job }) => job);
   // The gang has missed its objectives: small gangs take each machine that becomes free, and would starve it.
   assert.equal(startsOf(149, two).length, 2);
   assert.deepEqual(startsOf(150, two), []);
-  assert.deepEqual(startsOf(150, [...two, machine('m-3')]), ['j-big', 'j-big', 'j-big']);
+  assert.deepEqual(startsOf(150, [...two, machineView('m-3')]), ['j-big', 'j-big', 'j-big']);
   // The gang never fits here, so it keeps no machine idle.
-  assert.equal(startsOf(900, [machine('m-0'), machine('m-1')]).length, 2);
+  assert.equal(startsOf(900, [machineView('m-0'), machineView('m-1')]).length, 2);
   // A starved gang doesn't go before jobs of higher priority.
-  const high = pending(spec({ id: 'j-high', kind: 'gang', tasks: 1, cpus: 4, priority: Priority.high }));
-  const plan = planPlacement(input(two, [pending(gang, { ...late, waitedS: 500 }), high]));
+  const high = pendingJob(spec({ id: 'j-high', kind: 'gang', tasks: 1, cpus: 4, priority: Priority.high }));
+  const plan = planPlacement(input(two, [pendingJob(gang, { ...late, waitedS: 500 }), high]));
   assert.deepEqual(
     plan.starts.map(({ job }) => job),
     ['j-high'],
--- a/test/quota.test.ts
+++ b/test/quota.test.ts
@@ -33,6 +33,7 @@
 import { RandomStream } from '../packages/region/src/index.js';
 import { QuotaSimulation, type OmittedSafeguard } from './standins/quota-simulation.js';
 import { spec } from './standins/jobs.js';
+import { machineView, pendingJob } from './standins/placement.js';
 
 const NAMES = ['a', 'b', 'c', 'd'].map(shardName);
 const LIMIT: Amount = { cpus: 100, gpus: 16 };
@@ -389,16 +390,11 @@
 });
 
 test('a plan tells tasks that lack a share from tasks that lack room', () => {
-  const job = (id: string, cpus: number) => ({
-    spec: spec({ id, team: 't', cpus, tasks: 4 }),
-    ...{ ready: [0, 1, 2, 3], zoneUse: new Map(), machineUse: new Map(), avoid: new Set<never>() },
-    ...{ slackS: 100, lastSlackS: 100, aimed: true, suspect: false, workS: 1 },
+  const job = (id: string, cpus: number) =>
+    pendingJob(spec({ id, team: 't', cpus, tasks: 4 }), { slackS: 100, lastSlackS: 100, workS: 1 });
+  const machine = machineView('m', {
+    ...{ type: 's', zone: 'z', cpus: 16, memoryGb: 64, freeCpus: 10, freeMemoryGb: 64, cpuPrice: 1 },
   });
-  const machine = {
-    ...{ id: machineId('m'), type: 's', zone: 'z', spot: false, cpus: 16, gpus: 0, memoryGb: 64 },
-    ...{ freeCpus: 10, freeGpus: 0, freeMemoryGb: 64, usable: true, images: [], fetchGbPerS: 1, fetching: 0 },
-    ...{ cpuPrice: 1, suspicion: 0, running: [] },
-  };
   const team = { cpus: 0, gpus: 0, cpusMax: 4, gpusMax: 0, wholeLeft: { cpus: 50, gpus: Infinity } };
   const plan = (cpus: number, more: object = {}) =>
     planPlacement({
--- a/test/team-use.test.ts
+++ b/test/team-use.test.ts
@@ -16,6 +16,7 @@
 import { WorkerTracker, fencingTokenOf, type ListedTask } from '../src/workers/index.js';
 import { planPlacement } from '../src/placement/index.js';
 import { spec } from './standins/jobs.js';
+import { machineView, pendingJob } from './standins/placement.js';
 
 const TEAMS = new Map([
   ['tight', { cpus: 0, cpusMax: 4, gpus: 0, gpusMax: 0 }],
@@ -58,21 +59,10 @@
   const { use } = computeTeamUse(TEAMS, trackers.map(onMachine), specOf);
   const of = SPECS.get(jobId('j-tight'));
   assert.ok(of);
-  const machine = {
-    ...{ id: machineId('room'), type: 's', zone: 'z', spot: false, cpus: 16, gpus: 0, memoryGb: 64 },
-    ...{ freeCpus: 16, freeGpus: 0, freeMemoryGb: 64, usable: true, images: [], fetchGbPerS: 1, fetching: 0 },
-    ...{ cpuPrice: 1, suspicion: 0, running: [] },
-  };
-  const job = {
-    ...{
-      spec: of,
-      ready: [0, 1, 2, 3, 4, 5, 6, 7],
-      zoneUse: new Map(),
-      machineUse: new Map(),
-      avoid: new Set<never>(),
-    },
-    ...{ slackS: 100, lastSlackS: 100, aimed: false, workS: 10, suspect: false },
-  };
+  const machine = machineView('room', {
+    ...{ type: 's', zone: 'z', cpus: 16, memoryGb: 64, freeCpus: 16, freeMemoryGb: 64, cpuPrice: 1 },
+  });
+  const job = pendingJob(of, { slackS: 100, lastSlackS: 100, aimed: false });
   const input = { machines: [machine], pending: [job], teams: use, maxStarts: 100, reserve: null };
   return planPlacement(input).starts.length;
 }
