Play copies of commands and writes that were executed and answered

No model of the region played such a copy: commands_held carries each command out once, so no search could find it.

Change: faults commands_again (a share of executed commands arrives once more, late_s later, or when the leader or a holder changes, optionally also after a restart of the worker) and writes_again (transactions and lease calls that succeeded). The code that keeps copies until a takeover moves from fault-injection.ts to message-copies.ts and serves both kinds. Draws of existing faults and their random numbers are unchanged. No behaviour of the product changes.

--- a/packages/region/src/fault-injection.ts
+++ b/packages/region/src/fault-injection.ts
@@ -1,9 +1,9 @@
 /** Fault injection: starts and ends the faults that a day schedules. */
 
-import { isObject } from '../../../src/kernel/index.js';
 import type { SimulationScenario, Fault } from './scenario/index.js';
 import type { Machine, WorkerModel } from './models/index.js';
 import type { Controller } from './controller.js';
+import { duplicateCommands, duplicateReports, duplicateWrites } from './message-copies.js';
 import type { RegionParts } from './region-parts.js';
 import type { Partition, PartitionKind, Host, RandomStream, Network, SimProcess, EventQueue } from './sim/index.js';
 
@@ -55,58 +55,6 @@
   });
 }
 
-/** Time after the end of the fault in which held reports are still delivered when a leader or shard holder changes. */
-export const HELD_REPORT_RETENTION_S = 40;
-/** At most this many duplicates of reports are held; the oldest are dropped first. */
-const MAX_HELD_REPORTS = 400;
-/** Interval at which leader and shard holders are compared while reports are held. */
-const ROLE_POLL_INTERVAL_MS = 50;
-
-/** The longest delay of duplicate reports in seconds when the day sets none: well over the duration of a lease. */
-export const defaultDuplicateDelayS = (day: SimulationScenario): number => 1.7 * day.workers.lease_s;
-
-/** The leader and the holder of each shard with its incarnation, as a string that can be compared. */
-function currentRoles(region: FaultTarget): string {
-  const { state } = region.parts;
-  const shards = state.under('live/shards/').map((key) => state.get(key));
-  return JSON.stringify([
-    state.get('live/leader'),
-    shards.map((shard) => (isObject(shard) ? [shard['holder'], shard['incarnation']] : null)),
-  ]);
-}
-
-/**
- * Holds duplicates of reports until the leader or a shard's holder changes, and then delivers each of them to every
- * controller within 1.5 s.
- */
-function holdReportsUntilTakeover(region: FaultTarget, share: number, forS: number): void {
-  const { parts, world, random } = region;
-  const held: unknown[] = [];
-  const keep = (body: unknown): void => {
-    held.push(body);
-    if (held.length > MAX_HELD_REPORTS) held.shift();
-  };
-  const duplicates = { share, lateMs: 0, keep };
-  parts.duplicateReports = duplicates;
-  const endAt = world.now + forS * 1000;
-  world.schedule(endAt, () => {
-    if (parts.duplicateReports === duplicates) parts.duplicateReports = null;
-  });
-  let roles = currentRoles(region);
-  const pollRoles = (): void => {
-    const latest = currentRoles(region);
-    if (latest !== roles) {
-      roles = latest;
-      for (const body of held.splice(0)) {
-        world.schedule(world.now + random.uniform(0, 1500), () => parts.deliverReport(body));
-      }
-    }
-    if (world.now < endAt + HELD_REPORT_RETENTION_S * 1000)
-      world.schedule(world.now + ROLE_POLL_INTERVAL_MS, pollRoles);
-  };
-  pollRoles();
-}
-
 /** The hosts that a controller is cut off from, by the value of `from`. */
 const CUT_FROM: Record<FaultOf<'controller_cut'>['from'], (other: Host) => boolean> = {
   all: () => true,
@@ -327,18 +275,15 @@
       parts.cloud.bootsFast = true;
       scheduleEnd(fault.for_s, () => (parts.cloud.bootsFast = false));
       break;
-    case 'reports_again': {
-      if (fault.for_next === true) {
-        holdReportsUntilTakeover(region, fault.share, fault.for_s);
-        break;
-      }
-      const duplicates = { share: fault.share, lateMs: (fault.late_s ?? defaultDuplicateDelayS(day)) * 1000 };
-      parts.duplicateReports = duplicates;
-      scheduleEnd(fault.for_s, () => {
-        if (parts.duplicateReports === duplicates) parts.duplicateReports = null;
-      });
+    case 'reports_again':
+      duplicateReports(region, fault);
+      break;
+    case 'commands_again':
+      duplicateCommands(region, fault);
+      break;
+    case 'writes_again':
+      duplicateWrites(region, fault);
       break;
-    }
     case 'machines_restart':
       for (const worker of workersOf(selectMachines(region, fault))) worker.restart(fault.down_s);
       break;
--- a/packages/region/src/models/state-service.ts
+++ b/packages/region/src/models/state-service.ts
@@ -71,6 +71,13 @@
 type Write =
   { readonly key: string; readonly value: unknown; readonly lease: number | null } | { readonly gone: string };
 
+/** Injected duplicates of requests: this share of the transactions and lease calls that succeed arrives once more. */
+export interface WriteCopies {
+  readonly share: number;
+  /** Shortest and longest time from the execution to the arrival of the copy. */
+  readonly lateMs: readonly [number, number];
+}
+
 /** At least this many changes stay in the log. */
 const RETAINED_CHANGES = 10_000;
 const MAX_LIST_ITEMS = 1000;
@@ -118,6 +125,8 @@
   appliesLateWritesAtOnce = false;
   /** This share of the reads and transactions is executed at once and answered later. */
   heldAnswerShare = 0;
+  /** Duplicates of transactions and lease calls; null: none. */
+  writeCopies: WriteCopies | null = null;
   /** Called for each change, for measurements; `value` is undefined for a deletion. */
   wrote: (key: string, value: unknown) => void = () => undefined;
   /** Set by tests: drops a change although the transaction is answered with success. */
@@ -237,7 +246,18 @@
     }
     const fault = this.injectFault(request);
     if (fault === 'lost-answer') void this.dispatch(request);
-    return fault ? new Promise<JsonResponse>(() => undefined) : this.dispatch(request);
+    if (fault) return new Promise<JsonResponse>(() => undefined);
+    const answer = this.dispatch(request);
+    if (this.writeCopies && request.method !== 'GET') this.scheduleCopy(request, await answer, this.writeCopies);
+    return answer;
+  }
+
+  /** Lets some requests that succeeded arrive once more; nobody gets the answer. */
+  private scheduleCopy(request: JsonRequest, { status }: JsonResponse, copies: WriteCopies): void {
+    if (status !== 200 || !this.random.chance(copies.share)) return;
+    this.runtime.after(this.random.uniform(...copies.lateMs), () => {
+      if (!this.inOutage) void this.dispatch(request);
+    });
   }
 
   private dispatch(request: JsonRequest): JsonResponse | Promise<JsonResponse> {
--- a/packages/region/src/models/worker.ts
+++ b/packages/region/src/models/worker.ts
@@ -44,6 +44,17 @@
   readonly keep?: (body: unknown) => void;
 }
 
+/** Injected duplicates of commands: this share of the executed and answered ones arrives once more. */
+export interface CommandCopies {
+  readonly share: number;
+  /** Shortest and longest time from the execution to the arrival of the copy. */
+  readonly lateMs: readonly [number, number];
+  /** Copies also reach the worker after it has restarted. */
+  readonly afterRestart: boolean;
+  /** Receives what delivers a copy instead, to be called when the leader or the holder of a shard has changed. */
+  readonly keep?: (deliver: () => void) => void;
+}
+
 /** What {@link WorkerModel} depends on. */
 export interface WorkerDeps {
   readonly runtime: Runtime;
@@ -60,6 +71,8 @@
   readonly noticeS: () => number | null;
   /** Injected duplicates of reports; null: none. */
   readonly copies?: () => ReportCopies | null;
+  /** Injected duplicates of commands; null: none. */
+  readonly commandCopies?: () => CommandCopies | null;
 }
 
 const REPORT_TIMEOUT_MS = 4000;
@@ -67,6 +80,8 @@
 const FAILOVER_DELAY_MS = 1000;
 /** Range of the delay of held commands. */
 const HELD_COMMAND_DELAY_MS = [200, 6000] as const;
+/** Interval at which a copy of a command tries to reach a worker that hangs, restarts or is cut off. */
+const COPY_RETRY_MS = 50;
 /** Smallest interval between reports of changes. */
 const CHANGE_REPORT_INTERVAL_MS = 500;
 
@@ -358,7 +373,30 @@
   /** Answers a request; leaves it unanswered while nothing reaches the worker. */
   private handleRequest(request: JsonRequest): JsonResponse | Promise<JsonResponse> {
     if (this.dropsInbound || this.restarting) return new Promise<JsonResponse>(() => undefined);
-    return this.delaysCommands && request.path === '/commands' ? this.serveDelayed(request) : this.serve(request);
+    return this.delaysCommands && request.path === '/commands' ? this.serveDelayed(request) : this.serveOnce(request);
+  }
+
+  /** Executes a request; some commands that are executed arrive once more later. */
+  private serveOnce(request: JsonRequest): JsonResponse {
+    const answer = this.serve(request);
+    if (request.path === '/commands' && answer.status === 200) this.scheduleCommandCopy(request);
+    return answer;
+  }
+
+  /** Lets some commands arrive once more; nobody gets the answer. */
+  private scheduleCommandCopy(request: JsonRequest): void {
+    const copies = this.deps.commandCopies?.() ?? null;
+    const { watchdog, luck } = this.deps;
+    if (!copies || !luck.chance(copies.share)) return;
+    const { incarnation } = this;
+    const deliver = (): void => {
+      if (this.ended || (!copies.afterRestart && incarnation !== this.incarnation)) return;
+      const unreachable = this.paused || this.restarting || this.dropsInbound;
+      if (unreachable) watchdog.after(COPY_RETRY_MS, deliver);
+      else this.serve(request);
+    };
+    if (copies.keep) copies.keep(deliver);
+    else watchdog.after(luck.uniform(...copies.lateMs), deliver);
   }
 
   /** Executes a command late, or answers it late; it is not executed if the machine ends or restarts before. */
@@ -371,7 +409,7 @@
     await runtime.sleep(delayBeforeMs);
     if (this.ended || this.restarting || incarnation !== this.incarnation)
       return new Promise<JsonResponse>(() => undefined);
-    const answer = this.serve(request);
+    const answer = this.serveOnce(request);
     await runtime.sleep(delayAfterMs);
     return answer;
   }
--- a/packages/region/src/region-parts.ts
+++ b/packages/region/src/region-parts.ts
@@ -14,6 +14,7 @@
   WorkerModel,
 } from './models/index.js';
 import type {
+  CommandCopies,
   TaskExitCause,
   SimulatedJob,
   Machine,
@@ -115,6 +116,8 @@
   readonly workers = new Map<string, HostedWorker>();
   /** Makes workers send delayed duplicates of their reports; null while none are sent. */
   duplicateReports: ReportCopies | null = null;
+  /** Makes commands that workers have executed arrive once more; null while none do. */
+  duplicateCommands: CommandCopies | null = null;
   readonly stateHost: ModelHost;
   readonly cloudHost: ModelHost;
   readonly userHost: ModelHost;
@@ -235,6 +238,7 @@
       gangs: this.gangs,
       watch: this,
       copies: () => this.duplicateReports,
+      commandCopies: () => this.duplicateCommands,
       noticeS: () =>
         machine.takenAt === null ? null : Math.max(0, machine.takenAt - this.cloudHost.runtime.now()) / 1000,
     });
--- a/packages/region/src/region.ts
+++ b/packages/region/src/region.ts
@@ -18,7 +18,8 @@
   SimProcess,
   EventQueue,
 } from './sim/index.js';
-import { HELD_REPORT_RETENTION_S, defaultDuplicateDelayS, startFault, type FaultTarget } from './fault-injection.js';
+import { startFault, type FaultTarget } from './fault-injection.js';
+import { copiesArriveForS } from './message-copies.js';
 
 const STATE_ADDRESS = { host: '10.2.0.1', port: 2379 };
 const CLOUD_ADDRESS = { host: '10.2.0.2', port: 8443 };
@@ -330,18 +331,13 @@
     // the hang of a machine on top, which also gives users the time to poll again.
     const faultEndsS = this.day.troubles.map((fault) =>
       'for_s' in fault
-        ? fault.at_s + fault.for_s + (fault.kind === 'reports_again' ? this.maxDuplicateDelayS(fault) : 0)
+        ? fault.at_s + fault.for_s + copiesArriveForS(this.day, fault)
         : fault.at_s + ('gap_s' in fault ? fault.gap_s * this.controllers.length : 0) + this.downtimeS(fault),
     );
     this.parts.checker.quietFrom = Math.max(0, ...faultEndsS) * 1000;
     for (const fault of this.day.troubles) this.world.schedule(fault.at_s * 1000, () => startFault(fault, this));
   }
 
-  /** The longest delay of duplicate reports in seconds. */
-  private maxDuplicateDelayS({ late_s, for_next }: Extract<Fault, { kind: 'reports_again' }>): number {
-    return late_s ?? defaultDuplicateDelayS(this.day) + (for_next === true ? HELD_REPORT_RETENTION_S : 0);
-  }
-
   /** Seconds for which a fault leaves a controller down, or machines hung, after its last action. */
   private downtimeS(fault: Fault): number {
     if (fault.kind === 'cancel_now') return fault.hang_s ?? 0;
--- a/packages/region/src/scenario/parse.ts
+++ b/packages/region/src/scenario/parse.ts
@@ -134,7 +134,8 @@
       };
     if (fault.kind === 'rollout' && fault.order?.some((controller) => controller >= day.controllers.count))
       return { path: [...path, 'order'], message: `there are ${day.controllers.count} controllers, numbered from 0` };
-    if (fault.kind === 'reports_again' && fault.for_next === true && fault.late_s !== undefined)
+    const isKeptCopy = (fault.kind === 'reports_again' || fault.kind === 'commands_again') && fault.for_next === true;
+    if (isKeptCopy && fault.late_s !== undefined)
       return { path: [...path, 'late_s'], message: 'late_s and for_next exclude each other' };
     if (fault.kind.startsWith('machines_') || fault.kind === 'commands_held') {
       const { count, share } = fault as { readonly count?: number; readonly share?: number };
--- a/packages/region/src/scenario/schema.ts
+++ b/packages/region/src/scenario/schema.ts
@@ -82,6 +82,11 @@
   [nonNegativeInteger, v.picklist(['leader', 'all'])],
   'must be a number from 0, "leader" or "all"',
 );
+/** Shortest and longest delay, in seconds. */
+const delayRange = v.pipe(
+  v.tuple([nonNegative, positive]),
+  v.check(([from, to]) => from <= to, 'the first number must not exceed the second'),
+);
 const manner = v.optional(v.picklist(['hold', 'reset']), 'hold');
 
 /** A fault that is injected at a set time; `for_s` is its duration. */
@@ -147,6 +152,21 @@
     late_s: v.optional(positive),
     for_next: v.optional(v.boolean()),
   }),
+  /**
+   * Copies of commands that workers have executed and answered arrive there `late_s` later, unless the worker has
+   * restarted; with `after_restart` also then. With `for_next` they arrive as soon as another controller becomes leader
+   * or holder of a shard.
+   */
+  v.strictObject({
+    kind: v.literal('commands_again'),
+    ...timeWindow,
+    share,
+    late_s: v.optional(delayRange),
+    for_next: v.optional(v.boolean()),
+    after_restart: v.optional(v.boolean()),
+  }),
+  /** Copies of transactions and lease calls that succeeded arrive at the state service `late_s` later. */
+  v.strictObject({ kind: v.literal('writes_again'), ...timeWindow, share, late_s: v.optional(delayRange) }),
   /** The workers of some machines end with all their tasks and start again after `down_s`. */
   v.strictObject({
     kind: v.literal('machines_restart'),
--- a/packages/region/test/scenario.test.ts
+++ b/packages/region/test/scenario.test.ts
@@ -65,6 +65,14 @@
       'kind = "late_reports"\nfor_s = 3.0\nshare = 0.2\nfor_next = true\nlate_s = 4.0',
       /troubles\.0\.late_s: late_s and for_next exclude each other/,
     ],
+    [
+      'kind = "commands_again"\nfor_s = 3.0\nshare = 0.2\nfor_next = true\nlate_s = [1.0, 4.0]',
+      /troubles\.0\.late_s: late_s and for_next exclude each other/,
+    ],
+    [
+      'kind = "writes_again"\nfor_s = 3.0\nshare = 0.2\nlate_s = [4.0, 1.0]',
+      /troubles\.0\.late_s: the first number must not exceed the second/,
+    ],
     ['kind = "close_look"\nfor_s = 3.0', /troubles\.0\.kind: /],
   ];
   for (const [fault, pattern] of wrong) assert.throws(() => parseScenario(day(fault), 'm'), pattern);
