Test copies of commands across rollouts and rollbacks in both orders

Cause: what a later holder of another release lets through was only read, not tried.

Change: commands of the first 14 s arrive once more 39 to 80 s later, after all controllers have been replaced, from before-raised-tokens or production to this release and back, in both orders. No copy may break a rule; on the earlier releases alone, without a replacement, the same copies do.

--- a/packages/region/src/hunt/fault-combinations.ts
+++ b/packages/region/src/hunt/fault-combinations.ts
@@ -219,6 +219,22 @@
       down_s: drawShortDowntimeS(random),
     },
   ],
+  'commands and writes that were answered arrive again': (random, at, day) => {
+    const lateS = random.pickOne([4, 30, 120]) ?? 30;
+    const copies = random.chance(0.7) ? { late_s: [0.1, lateS] as [number, number] } : { for_next: true };
+    return [
+      { kind: 'commands_again', at_s: at - 25, for_s: 70, share: random.uniform(0.3, 1), ...copies },
+      { kind: 'writes_again', at_s: at - 25, for_s: 70, share: random.uniform(0.1, 1), late_s: [0.1, lateS] },
+      { kind: 'machines_fail_tasks', at_s: at - 20, for_s: 60, share: random.uniform(0.1, 0.5) },
+      { kind: 'cancel_now', at_s: at, count: 12, ...drawHang(random, day) },
+      {
+        kind: 'controller_crash',
+        at_s: at + random.uniform(0, 10),
+        controller: drawController(random, day),
+        down_s: drawShortDowntimeS(random),
+      },
+    ];
+  },
   'old reports reach every controller as a new leader begins': (random, at, day) => [
     { kind: 'reports_again', at_s: at - 20, for_s: 60, share: random.uniform(0.1, 0.8), for_next: true },
     { kind: 'controller_crash', at_s: at, controller: 'leader', down_s: drawShortDowntimeS(random) },
--- a/packages/region/src/message-copies.ts
+++ b/packages/region/src/message-copies.ts
@@ -80,8 +80,10 @@
 }
 
 /** The shortest and longest delay of a fault's copies in milliseconds. */
-const delayRangeMs = (day: SimulationScenario, lateS: readonly [number, number] | undefined): [number, number] =>
-  lateS ? [lateS[0] * 1000, lateS[1] * 1000] : [0, defaultDelayS(day) * 1000];
+export const delayRangeMs = (
+  day: SimulationScenario,
+  lateS: readonly [number, number] | undefined,
+): [number, number] => (lateS ? [lateS[0] * 1000, lateS[1] * 1000] : [0, defaultDelayS(day) * 1000]);
 
 /** Starts to duplicate commands to workers, until the fault is over. */
 export function duplicateCommands(region: CopyTarget, fault: FaultOf<'commands_again'>): void {
--- a/packages/region/src/scale/fault-injection.ts
+++ b/packages/region/src/scale/fault-injection.ts
@@ -5,6 +5,7 @@
 import type { RegionParts } from '../region-parts.js';
 import type { RandomStream } from '../sim/index.js';
 import { chooseMachines } from '../fault-injection.js';
+import { delayRangeMs } from '../message-copies.js';
 import type { ControllerProcesses } from './controller-processes.js';
 import { ScaleError } from './errors.js';
 import type { HollowFleet } from './hollow-fleet.js';
@@ -19,6 +20,8 @@
   'state_outage',
   'state_slow',
   'burst',
+  'commands_again',
+  'writes_again',
 ]);
 
 /**
@@ -35,6 +38,9 @@
     throw new ScaleError(`${day.name}: capacity.${spotCapacityIndex}.spot: a scale run does not support spot machines`);
   const unsupportedIndex = day.troubles.findIndex(({ kind }) => !SUPPORTED_FAULTS.has(kind));
   const fault = day.troubles[unsupportedIndex];
+  const keptIndex = day.troubles.findIndex((trouble) => trouble.kind === 'commands_again' && trouble.for_next === true);
+  if (keptIndex >= 0)
+    throw new ScaleError(`${day.name}: troubles.${keptIndex}.for_next: a scale run does not support kept commands`);
   if (fault)
     throw new ScaleError(`${day.name}: troubles.${unsupportedIndex}.kind: a scale run does not support ${fault.kind}`);
 }
@@ -90,6 +96,16 @@
       parts.state.slowness = fault.times;
       schedule(fault.for_s, () => (parts.state.slowness = 1));
       break;
+    case 'commands_again':
+      fleet.duplicateCommands({
+        ...{ share: fault.share, lateMs: delayRangeMs(day, fault.late_s), afterRestart: fault.after_restart === true },
+      });
+      schedule(fault.for_s, () => fleet.duplicateCommands(null));
+      break;
+    case 'writes_again':
+      parts.state.writeCopies = { share: fault.share, lateMs: delayRangeMs(day, fault.late_s) };
+      schedule(fault.for_s, () => (parts.state.writeCopies = null));
+      break;
     case 'burst':
       parts.users.setArrivalFactor(fault.class, fault.times);
       schedule(fault.for_s, () => parts.users.setArrivalFactor(fault.class, 1));
--- a/packages/region/src/scale/hollow-fleet.ts
+++ b/packages/region/src/scale/hollow-fleet.ts
@@ -6,7 +6,14 @@
 import type { SimulatedJob, Machine } from '../models/index.js';
 import { workerTimings, type ExternalWorkers } from '../region-parts.js';
 import { ScaleError } from './errors.js';
-import type { HollowCommand, HollowEvent, HollowMeasurement, TaskEvent, WorkerFault } from './messages.js';
+import type {
+  HollowCommand,
+  HollowCommandCopies,
+  HollowEvent,
+  HollowMeasurement,
+  TaskEvent,
+  WorkerFault,
+} from './messages.js';
 
 /** How to start a further process of this program. */
 export interface ProcessLaunch {
@@ -188,6 +195,11 @@
     if (workerProcess) this.send(workerProcess, { kind: 'fault', fault, machine, downS });
   }
 
+  /** Starts to duplicate commands at every worker; null ends it. */
+  duplicateCommands(copies: HollowCommandCopies | null): void {
+    for (const workerProcess of this.workerProcesses) this.send(workerProcess, { kind: 'copies', copies });
+  }
+
   /** Returns the totals of what all workers have sent and received so far. */
   async measure(): Promise<HollowMeasurement> {
     const measures = await Promise.all(
--- a/packages/region/src/scale/hollow-workers.ts
+++ b/packages/region/src/scale/hollow-workers.ts
@@ -12,7 +12,14 @@
 } from '../models/index.js';
 import { LOOPBACK_ADDRESS } from '../loopback-region.js';
 import { RandomStream } from '../sim/index.js';
-import type { HollowCommand, HollowEvent, HollowMachine, HollowMeasurement, TaskEventKind } from './messages.js';
+import type {
+  HollowCommand,
+  HollowCommandCopies,
+  HollowEvent,
+  HollowMachine,
+  HollowMeasurement,
+  TaskEventKind,
+} from './messages.js';
 
 /** Sends events to the scale run. */
 export interface HollowChannel {
@@ -39,6 +46,7 @@
   private readonly runtime = new DisposableRuntime();
   private readonly workers = new Map<string, WorkerModel>();
   private readonly jobs = new SimulatedJobs();
+  private commandCopies: HollowCommandCopies | null = null;
   private configuration:
     (Extract<HollowCommand, { kind: 'configure' }> & { readonly gangBook: GangCoordinator }) | undefined;
   /** Totals of the workers that have been removed. */
@@ -67,6 +75,9 @@
       case 'fault':
         this.applyFault(command);
         break;
+      case 'copies':
+        this.commandCopies = command.copies;
+        break;
       case 'measure':
         this.channel.send({ kind: 'measured', id: command.id, measure: this.measure() });
         break;
@@ -94,6 +105,7 @@
     const model = new WorkerModel(machine, {
       ...{ runtime, watchdog: runtime, luck: random, log, facts, controllers, jobs, gangs },
       watch: this.taskWatch,
+      commandCopies: () => this.commandCopies,
       noticeS: () => null,
     });
     this.workers.set(hollowMachine.id, model);
--- a/packages/region/src/scale/messages.ts
+++ b/packages/region/src/scale/messages.ts
@@ -2,7 +2,14 @@
 
 import type { Endpoint } from '../../../../src/kernel/index.js';
 import type { Traffic } from '../disposable-runtime.js';
-import type { TaskExitCause, GangTimeouts, Submission, MachineTypeConfig, WorkerTimings } from '../models/index.js';
+import type {
+  CommandCopies,
+  TaskExitCause,
+  GangTimeouts,
+  Submission,
+  MachineTypeConfig,
+  WorkerTimings,
+} from '../models/index.js';
 
 /** A machine for which a hollow worker is to run. */
 export interface HollowMachine {
@@ -23,6 +30,9 @@
 /** Faults of a worker: it restarts, or it loses its network and gets it back. */
 export type WorkerFault = 'restart' | 'cut' | 'heal';
 
+/** Duplicates of executed commands that all workers get; see `CommandCopies`. */
+export type HollowCommandCopies = Pick<CommandCopies, 'share' | 'lateMs' | 'afterRestart'>;
+
 /** Command from the run to a process of hollow workers. `configure` is sent first; `measure` asks for a `measured` event. */
 export type HollowCommand =
   | {
@@ -36,6 +46,7 @@
   | { readonly kind: 'up'; readonly machine: HollowMachine }
   | { readonly kind: 'gone'; readonly machine: string }
   | { readonly kind: 'fault'; readonly fault: WorkerFault; readonly machine: string; readonly downS: number }
+  | { readonly kind: 'copies'; readonly copies: HollowCommandCopies | null }
   | { readonly kind: 'measure'; readonly id: number };
 
 /** Kind of a task event; the meanings are those of `TaskObserver`. */
--- a/packages/region/test/command-copies.test.ts
+++ b/packages/region/test/command-copies.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Region, type DayResult, type Fault, type SimulationScenario } from '../src/index.js';
-import { shortDay } from './test-days.js';
+import { shippedDay, shortDay } from './test-days.js';
 
 /** The release in which a copy of a start was executed once its attempt had been forgotten. */
 const EARLIER_RELEASE = 'before-raised-tokens';
@@ -72,6 +72,13 @@
   },
 };
 
+test('on a day of copies, quick restarts and failing machines every rule is kept, and an earlier release runs tasks twice', async () => {
+  const { breaches, defects, failures } = await play(shippedDay('copies'));
+  assert.deepEqual([breaches, defects, failures], [[], [], []]);
+  const earlier = await play(shippedDay('copies'), EARLIER_RELEASE);
+  assert.ok(earlier.breaches.some(({ rule }) => rule === 'ran_twice'));
+});
+
 for (const [which, { day, rule }] of Object.entries(CASES)) {
   // Guards against a copy of an executed start command that starts an attempt again which its worker has forgotten.
   test(`a copy of the start of a task ${which} does not start it again`, async () => {
@@ -85,3 +92,39 @@
     assert.ok(breaches.some((breach) => breach.rule === rule));
   });
 }
+
+/** Commands until then are sent once more. */
+const COPIED_UNTIL_S = 14;
+/** All controllers are replaced by then, and their shards claimed. */
+const REPLACED_BY_S = 40;
+
+/** A day on which copies of early commands arrive after all controllers can have been replaced. */
+function dayOfLateCopies(replacement: readonly Fault[]): SimulationScenario {
+  const late: Fault = {
+    ...{ kind: 'commands_again', at_s: 1, for_s: COPIED_UNTIL_S - 1, share: 1 },
+    late_s: [REPLACED_BY_S - 1, REPLACED_BY_S + 40],
+  };
+  const run_s = { median: 110, p95: 115, max: 120 };
+  const arrays = { initial: 3, per_minute: 4, run_s, cancel_share: 0.3, cancel_within_s: 10 };
+  return dayOf({ letters: arrays }, [late, failing(3, 12), ...replacement]);
+}
+
+for (const earlier of [EARLIER_RELEASE, 'production']) {
+  test(`copies of commands from before a rollout from ${earlier}, or a rollback to it, start nothing after it, in both orders`, async () => {
+    const unreplaced = await play(dayOfLateCopies([]), earlier);
+    assert.ok(unreplaced.breaches.length > 0, 'without a rollout the copies break a rule');
+    for (const order of [
+      [0, 1, 2],
+      [2, 1, 0],
+    ]) {
+      for (const [from, to] of [
+        [earlier, 'this'],
+        ['this', earlier],
+      ] as const) {
+        const rollout: Fault = { kind: 'rollout', at_s: COPIED_UNTIL_S, gap_s: 6, to, order, leave: false };
+        const { breaches, defects } = await play(dayOfLateCopies([rollout]), from);
+        assert.deepEqual([breaches, defects], [[], []], `from ${from} to ${to}, ${order}`);
+      }
+    }
+  });
+}
--- a/packages/region/test/scenario.test.ts
+++ b/packages/region/test/scenario.test.ts
@@ -79,7 +79,7 @@
 });
 
 test('the shipped scenarios are valid, and every drawn schedule survives formatting and parsing unchanged', () => {
-  for (const name of ['quiet', 'night', 'storm']) assert.equal(shippedDay(name).name, name);
+  for (const name of ['quiet', 'night', 'storm', 'copies']) assert.equal(shippedDay(name).name, name);
   const base = shortDay(300, []);
   fc.assert(
     fc.property(fc.integer({ min: 0, max: 2 ** 30 }), (seed) => {
