Rewrite a shard's record before its holder is made anew under the same claim

What callers would see: after a page that could not be read for a while, every machine of the block refuses its holder ("another holder commands it"), is given up after a lease and returned, with its tasks.

Cause: tokens are derived from the revision of the claim and raised from there. A holder made anew under the same claim begins at the same revision, below the tokens that its machines have seen.

Change: such a holder is made only after the shard's record was rewritten under guard; its tokens and its attempts' numbers begin at the new revision.

Evidence: the test (a page of the format 99 for two seconds, after all shards were claimed anew) fails without the change by machines given up, and holds with it.

--- a/packages/region/test/block-pages.test.ts
+++ b/packages/region/test/block-pages.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { decodeShard, encodeShard } from '../../../src/membership/index.js';
+import { decodeShard, encodeShard, parsePageKey } from '../../../src/membership/index.js';
 import { shardKey } from '../../../src/state/index.js';
-import { shardName } from '../../../src/kernel/index.js';
+import { isObject, shardName } from '../../../src/kernel/index.js';
 import type { SimulationScenario, DayResult, Region, Fault } from '../src/index.js';
 import { playWithActions, shippedDay, type TimedAction } from './test-days.js';
 
@@ -94,3 +94,49 @@
     assert.ok(result.classes.some(({ tasksStarted }) => tasksStarted > 100));
   }
 });
+
+/** By then a block has grown out of its record, so that it is in pages; then all shards are claimed anew. */
+const CLAIMED_ANEW_AT_S = 100;
+const UNREADABLE_AT_S = 115;
+const READABLE_AT_S = 117;
+const READ_AGAIN_DAY_S = 160;
+
+/** The key of a page that counts, and its value. */
+function findPage({ parts: { state } }: Region): { readonly key: string; readonly value: unknown } | undefined {
+  for (const key of state.under('live/pages/')) {
+    const { shard } = parsePageKey(key);
+    const value = state.get(key);
+    if (isObject(value) && decodeShard(state.get(shardKey(shard)))?.epoch === value['epoch']) return { key, value };
+  }
+  return undefined;
+}
+
+test('a holder whose page could not be read for a while commands its machines again, and none is given up', async () => {
+  let page: ReturnType<typeof findPage>;
+  const { troubles, ...limits } = shippedDay('limits');
+  const faults: Fault[] = [
+    ...troubles.filter(({ kind }) => kind === 'state_limits'),
+    { kind: 'controller_crash', at_s: CLAIMED_ANEW_AT_S, controller: 'all', down_s: 0.5 },
+  ];
+  const { result, countLogged } = await playDayWith({ ...limits, duration_s: READ_AGAIN_DAY_S, troubles: faults }, [
+    [
+      UNREADABLE_AT_S,
+      (region) => {
+        page = findPage(region);
+        if (page) region.parts.state.put(page.key, { v: 99 });
+      },
+    ],
+    [
+      READABLE_AT_S,
+      ({ parts }) => {
+        if (page) parts.state.put(page.key, page.value);
+      },
+    ],
+  ]);
+  assert.deepEqual([violatedRules(result), result.defects, result.failures], [[], [], []]);
+  assert.ok(countLogged('this node no longer holds the shard') > 0);
+  assert.deepEqual(
+    [countLogged('another holder commands it'), countLogged('gave back machines that were lost')],
+    [0, 0],
+  );
+});
--- a/src/service/shard-ownership.ts
+++ b/src/service/shard-ownership.ts
@@ -71,6 +71,8 @@
   readonly holders = new Map<ShardName, ShardHolder>();
   /** Per shard, the latest version at which another node is known to have claimed it. */
   private readonly supersededAt = new Map<ShardName, number>();
+  /** Per shard, the highest revision that tokens of this node's holders can have been derived from. */
+  private readonly usedRevisions = new Map<ShardName, Revision>();
   /** Per shard, since when its home node has been able to take it back. */
   private readonly homeNodeAvailableSince = new Map<ShardName, Millis>();
   private leavingSince: Millis | null = null;
@@ -105,8 +107,14 @@
     const holder = this.holders.get(shard);
     if (!isOurs) {
       if (holder) this.dropHolder(shard, holder);
-    } else if (holder) holder.onShard(value, source);
-    else if (this.deps.mirror.seenUpTo < known.version) {
+    } else if (holder) {
+      this.noteRevision(shard, source.revision);
+      holder.onShard(value, source);
+    } else if (known.version <= (this.usedRevisions.get(shard) ?? 0)) {
+      // A holder made anew under the same claim needs tokens above those of the one that was dropped.
+      const isUnchanged = (): boolean => this.deps.directory.all.get(shard)?.version === known.version;
+      void this.rewriteRecord(shard, isUnchanged);
+    } else if (this.deps.mirror.seenUpTo < known.version) {
       // The holder is created only after the watch has reached the claim. The earlier holder may have used a page that
       // was written before the claim; if such a page arrived later, it would count as new and its machines would not be
       // fenced. Likewise, a job that ended before the claim, known only to the earlier holder, would continue here if
@@ -114,10 +122,15 @@
       void this.deps.mirror.reach(known.version, WATCH_CATCH_UP_MS).then(() => this.updateHolder(shard, source));
     } else {
       this.deps.trail?.record({ kind: 'claimed', shard });
+      this.noteRevision(shard, known.version);
       this.holders.set(shard, this.deps.createHolder(shard, known.version, value));
     }
   }
 
+  private noteRevision(shard: ShardName, revision: Revision): void {
+    if (revision > (this.usedRevisions.get(shard) ?? 0)) this.usedRevisions.set(shard, revision);
+  }
+
   /** Stops holding a shard. */
   private dropHolder(shard: ShardName, holder: ShardHolder): void {
     this.deps.log.info({ shard }, 'this node no longer holds the shard');
