Don't let an exited attempt hide a running one of the same task

Cause, found by reading while looking for other paths of the incident: the tracker indexes what a worker lists by task, and the last entry won. A worker lists two attempts of a task when it was started again before the exited one was forgotten, or when a copy of an older start is refused as "in use". The protocol gives no order. With the exited entry last, the running attempt was not on the machine for its holder.

Change: an entry that has not exited is kept, wherever it stands.

Evidence: the test fails without the change and holds with it.

--- a/src/workers/worker-tracker.ts
+++ b/src/workers/worker-tracker.ts
@@ -35,6 +35,16 @@
 /** The highest token that earlier holders can have used. */
 const lastTokenBefore = (base: Revision): FencingToken => fencingToken(base * TOKENS_PER_REVISION - 1);
 
+/** Indexes listed tasks. An attempt that has not exited hides exited ones of the same task, in whatever order they come. */
+function indexByKey(tasks: readonly ListedTask[]): Map<TaskKey, ListedTask> {
+  const index = new Map<TaskKey, ListedTask>();
+  for (const task of tasks) {
+    const other = index.get(task.key);
+    if (!other || other.state === 'exited' || task.state !== 'exited') index.set(task.key, task);
+  }
+  return index;
+}
+
 /** A start that was sent, or is about to be, and whose outcome is not known yet. */
 interface PendingStart {
   readonly attempt: Attempt;
@@ -314,7 +324,7 @@
     this.lastMessageAt = now;
     if (this.starts.size === 0 && this.listsSameTasks(message.tasks)) return 'applied';
     const before = this.listedTasks;
-    this.listedTasks = new Map(message.tasks.map((task) => [task.key, task]));
+    this.listedTasks = indexByKey(message.tasks);
     for (const key of this.listedTasks.keys()) if (!before.has(key) && !this.starts.has(key)) this.addToIndex(key);
     for (const key of before.keys()) this.removeFromIndex(key);
     for (const [key, start] of this.starts) {
--- a/test/late-copies.test.ts
+++ b/test/late-copies.test.ts
@@ -172,6 +172,21 @@
   assert.equal(pair.deliverCopy(start).status, 200);
 });
 
+test('a running attempt is not hidden by an exited one of the same task, in whatever order the worker lists them', () => {
+  for (const exitedFirst of [true, false]) {
+    const pair = new WorkerWithHolder();
+    pair.start(TASK);
+    pair.execute(pair.compose([{ op: 'stop', key: TASK, attempt: attempt(1), graceS: 0 }]));
+    const start = pair.compose([{ op: 'start', key: TASK, attempt: attempt(2) }]);
+    const { message } = pair.deliverCopy(start);
+    const listed = [...message.tasks].sort((a, b) => (exitedFirst ? 1 : -1) * (a.attempt - b.attempt));
+    assert.deepEqual(new Set(listed.map(({ state }) => state)), new Set(['exited', 'running']));
+    pair.tracker.applyAnswer({ ...message, tasks: listed }, start.sent, millis(100));
+    pair.tracker.settleStarts([TASK]);
+    assert.ok(pair.tracker.mayHaveTask(TASK));
+  }
+});
+
 /** A machine whose holder has started and forgotten a task, and the command of that start. */
 function machineAfterForgottenStart() {
   const log = createLogger('silent', 'test');
