Log forget orders, and count tasks that workers list unexpectedly

Cause: the kept logs told what was started and stopped, not what workers were let to forget, and nothing told that an ended attempt ran again. With these lines the incident is told by one of them, within a report.

Change: at debug, the forget orders of the answer to a report with machine, attempts, token, session, claim, holder mode and the state revision seen, as starts and stops have them (order-log.ts serves both). A live task that was not expected is counted for each held shard (admin status, held, unexpectedTasks: ended, other); one that this holder had seen end is named at warn with machine, task, attempt, session and token. Nothing is computed for a report that lists what was expected. One constructor of tasks that were just ordered or adopted replaces two literals.

Evidence: the test of the counter and the line.

--- a/src/holder/held-machine.ts
+++ b/src/holder/held-machine.ts
@@ -26,6 +26,8 @@
   view: { readonly booking: Booking; readonly view: MachineView } | null = null;
   /** Attempts whose exit has been handled, until the worker no longer lists them. */
   readonly processedExits = new Map<TaskKey, number>();
+  /** Attempts that were listed unexpectedly, until the worker no longer lists them; see `UnexpectedTasks`. */
+  readonly unexpectedAttempts = new Map<TaskKey, number>();
   /** When a stop order was last sent, by task. */
   readonly stopSentAt = new Map<TaskKey, Millis>();
   private images: string[] = [];
--- a/src/holder/held-shard-state.ts
+++ b/src/holder/held-shard-state.ts
@@ -21,8 +21,10 @@
 import { leftoverStops } from './leftover-stops.js';
 import { HeldMachine } from './held-machine.js';
 import { BlockMembers, type ChangeSource } from './block-members.js';
+import { logOrders } from './order-log.js';
+import { UnexpectedTasks } from './unexpected-tasks.js';
 import { applyGroupedProgress } from './apply-grouped-progress.js';
-import { JobRun, type ActiveTask, type StopReason } from './job-run.js';
+import { JobRun, orderedTask, type ActiveTask, type StopReason } from './job-run.js';
 import type { HolderDeps, ReportReply } from './deps.js';
 
 /** How long a booking is reused although the run time that a preemption would lose grows. */
@@ -65,6 +67,8 @@
   readonly since: Millis;
   /** Set once this node no longer holds the shard. */
   dropped = false;
+  /** Live tasks that workers listed unexpectedly. */
+  readonly unexpectedTasks: UnexpectedTasks;
   /** Set when a machine's tokens should be derived from a new revision of the shard's record. */
   needsNewRevision = false;
 
@@ -79,6 +83,7 @@
   ) {
     const now = deps.runtime.now();
     this.since = now;
+    this.unexpectedTasks = new UnexpectedTasks(shard, claimedAt, deps.log);
     this.previousHolders = new Map(previous.map((holder) => [holder.node, holder]));
     this.previousHoldersStoppedAt = previous.length === 0 ? now : null;
     this.members = new BlockMembers(shard, claimedAt, deps, {
@@ -323,6 +328,12 @@
     machine.tracker.recordLeaseRenewal(now);
     const forgotten = ordersToForget(machine, outcome, this.findRun, (id) => this.isUnmanaged(id));
     this.needsNewRevision ||= machine.tracker.tokensAreShort;
+    logOrders(
+      this,
+      machine,
+      forgotten,
+      `letting a worker forget ended attempts in the answer to its ${outcome} report`,
+    );
     return { status: 200, body: encodeReply(machine.tracker.token, [...forgotten, ...leftovers]) };
   }
 
@@ -335,7 +346,9 @@
       if (this.isUnmanaged(listed.job)) continue;
       if (!run) {
         // The job was cancelled while the previous holder was down, so only this holder can stop the task.
-        if (listed.state !== 'exited') this.machinesWithStops.add(machine);
+        if (listed.state === 'exited') continue;
+        this.unexpectedTasks.note(machine, listed);
+        this.machinesWithStops.add(machine);
         continue;
       }
       const active = run.active.get(listed.index);
@@ -349,25 +362,16 @@
         this.onTaskState(machine, run, active, listed, now);
       } else if (!active && !run.done.has(listed.index)) {
         // A previous holder started this task: it is adopted and kept running.
-        const adopted: ActiveTask = {
-          index: listed.index,
-          machine: machine.id,
-          attempt: listed.attempt,
-          orderedAt: now,
-          adopted: true,
-          state: 'ordered',
-          runningAt: null,
-          stopping: null,
-        };
+        if (this.unexpectedTasks.isOwnAttempt(listed)) this.unexpectedTasks.note(machine, listed);
+        const adopted = orderedTask(listed, machine.id, now, { adopted: true });
         this.assign(machine, run, adopted);
         this.onTaskState(machine, run, adopted, listed, now);
-      }
+      } else this.unexpectedTasks.note(machine, listed);
       if (listed.state !== 'exited' && this.stopGraceS(machine, listed, now) !== null)
         this.machinesWithStops.add(machine);
     }
-    for (const key of machine.processedExits.keys())
-      if (!machine.tracker.tasks.has(key)) machine.processedExits.delete(key);
-    for (const key of machine.stopSentAt.keys()) if (!machine.tracker.tasks.has(key)) machine.stopSentAt.delete(key);
+    for (const byTask of [machine.processedExits, machine.unexpectedAttempts, machine.stopSentAt])
+      for (const key of byTask.keys()) if (!machine.tracker.tasks.has(key)) byTask.delete(key);
     for (const [key, { run, task }] of machine.active) {
       if (!machine.tracker.mayHaveTask(key)) this.recordAttemptGone(machine, run, task, 'not there any more');
     }
--- a/src/holder/index.ts
+++ b/src/holder/index.ts
@@ -5,6 +5,7 @@
 export { JobRun } from './job-run.js';
 export { ordersToForget } from './forget-orders.js';
 export { mustStopBeforeReclaim } from './evictions.js';
+export { ATTEMPTS_PER_CLAIM, UnexpectedTasks, type UnexpectedTaskCounts } from './unexpected-tasks.js';
 export type { ChangeSource } from './block-members.js';
 export { planGroupedProgress } from './grouped-progress.js';
 export { computeTeamUse, type LimitedTeamUse } from './team-use.js';
--- a/src/holder/job-run.ts
+++ b/src/holder/job-run.ts
@@ -35,6 +35,17 @@
   stopping: { readonly reason: StopReason; readonly since: Millis; readonly graceS: number } | null;
 }
 
+/** A task that was just ordered or adopted, before its worker's list has been applied to it. */
+export const orderedTask = (
+  { index, attempt }: Pick<ActiveTask, 'index' | 'attempt'>,
+  machine: MachineId,
+  now: Millis,
+  { adopted }: Pick<ActiveTask, 'adopted'>,
+): ActiveTask => ({
+  ...{ index, machine, attempt, adopted },
+  ...{ orderedAt: now, state: 'ordered', runningAt: null, stopping: null },
+});
+
 /** How long a job avoids a machine on which a task of it failed or was restarted. */
 const AVOID_MACHINE_MS = 60_000;
 /** Number of machines on which a job has to fail before the job itself is considered at fault. */
--- a/src/holder/shard-holder.ts
+++ b/src/holder/shard-holder.ts
@@ -20,6 +20,7 @@
 import type { TeamNeed } from '../quota/index.js';
 import { keepsGpuMachineInUse } from './booking.js';
 import type { HeldMachine } from './held-machine.js';
+import { logOrders } from './order-log.js';
 
 /** Interval of the checks that depend on time alone, such as lease expiry, regardless of the reports in between. */
 const SWEEP_INTERVAL_MS = 250;
@@ -181,7 +182,7 @@
       if (order.op === 'start') tracker.recordStart(order.key, order.attempt);
       else machine.stopSentAt.set(order.key, now);
     }
-    this.logOrders(machine, orders);
+    logOrders(this, machine, orders, 'sending orders to worker');
     const startsKeepInUse = (o: Order): boolean => {
       if (o.op !== 'start') return false;
       const gpus = this.deps.types().get(machine.info.type)?.gpus ?? 0;
@@ -192,19 +193,6 @@
     void commandSender.send(orders);
   }
 
-  /** Logs orders together with the authority behind them: the claim, the token and the state revision seen. */
-  private logOrders(machine: HeldMachine, orders: readonly Order[]): void {
-    const { deps, shard, claimedAt } = this;
-    if (orders.length === 0 || !deps.log.isLevelEnabled('debug')) return;
-    const named = orders.map(({ op, key, attempt }) => ({ op, key, attempt }));
-    const { token, session } = machine.tracker;
-    const authority = { claimedAt, standing: deps.holderMode(), seenUpTo: deps.mirror.seenUpTo };
-    deps.log.debug(
-      { shard, machine: machine.id, token, session, ...authority, orders: named },
-      'sending orders to worker',
-    );
-  }
-
   /**
    * Whether an unfenced machine is given up. After a claim, jobs from before it wait until the last machine has
    * acknowledged the token. When nearly all have, the few that do not answer are dead rather than slow, and losing them
--- a/src/holder/task-placer.ts
+++ b/src/holder/task-placer.ts
@@ -24,7 +24,8 @@
 } from '../placement/index.js';
 import type { Order } from '../workers/index.js';
 import type { HeldMachine } from './held-machine.js';
-import type { JobRun } from './job-run.js';
+import { orderedTask, type JobRun } from './job-run.js';
+import { ATTEMPTS_PER_CLAIM } from './unexpected-tasks.js';
 
 /** The larger of two reserves, by resource. */
 const maxReserve = (a: GpuReserve | null, b: GpuReserve): GpuReserve => ({
@@ -226,22 +227,13 @@
       let number = run.spec.kind === 'gang' ? gangAttempts.get(start.job) : undefined;
       if (number === undefined) {
         this.attempts += 1;
-        // Attempt numbers contain the claim's revision, so they grow from holder to holder without a write.
-        number = attempt(this.held.claimedAt * 2 ** 20 + this.attempts);
+        number = attempt(this.held.claimedAt * ATTEMPTS_PER_CLAIM + this.attempts);
         gangAttempts.set(start.job, number);
       }
       const machine = this.held.machines.get(start.machine);
       if (!machine) continue;
-      this.held.assign(machine, run, {
-        index: start.index,
-        machine: start.machine,
-        attempt: number,
-        orderedAt: now,
-        adopted: false,
-        state: 'ordered',
-        runningAt: null,
-        stopping: null,
-      });
+      const task = { index: start.index, attempt: number };
+      this.held.assign(machine, run, orderedTask(task, start.machine, now, { adopted: false }));
       const list = orders.get(start.machine) ?? [];
       list.push({ op: 'start', key, attempt: number });
       orders.set(start.machine, list);
--- a/src/service/shard-ownership.ts
+++ b/src/service/shard-ownership.ts
@@ -1,4 +1,4 @@
-import type { ChangeSource, ShardHolder } from '../holder/index.js';
+import type { ChangeSource, ShardHolder, UnexpectedTaskCounts } from '../holder/index.js';
 import {
   millis,
   shardName,
@@ -60,6 +60,16 @@
   onShardDropped(shard: ShardName): void;
 }
 
+/** A held shard in the status of its node. */
+export interface HeldShardStatus {
+  readonly shard: ShardName;
+  /** Version of the record at the claim. */
+  readonly claimedAt: Revision;
+  /** Number of machines that are missing from the block. */
+  readonly missing: number;
+  readonly unexpectedTasks: UnexpectedTaskCounts;
+}
+
 /** Result of a request to leave; `reason` says why the node cannot leave now. */
 export type LeaveResult = { readonly ok: true } | { readonly ok: false; readonly reason: string };
 
@@ -279,12 +289,13 @@
       this.homeNodeAvailableSince.delete(shard);
   }
 
-  /** For each held shard: the version of its claim and the number of machines that are missing from its block. */
-  get held(): { readonly shard: ShardName; readonly claimedAt: Revision; readonly missing: number }[] {
-    return [...this.holders].map(([shard, { claimedAt, members }]) => ({
+  /** The held shards as `admin status` shows them. */
+  get held(): HeldShardStatus[] {
+    return [...this.holders].map(([shard, { claimedAt, members, unexpectedTasks }]) => ({
       shard,
       claimedAt,
       missing: members.missingCount,
+      unexpectedTasks: unexpectedTasks.counts,
     }));
   }
 
--- a/test/late-copies.test.ts
+++ b/test/late-copies.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { pino } from 'pino';
 import { StandInWorker } from './standins/worker.js';
-import { HeldMachine, ordersToForget } from '../src/holder/index.js';
+import { ATTEMPTS_PER_CLAIM, HeldMachine, ordersToForget, UnexpectedTasks } from '../src/holder/index.js';
 import {
   attempt,
   createLogger,
@@ -9,6 +10,7 @@
   machineId,
   millis,
   revision,
+  shardName,
   SocketBudget,
   systemRuntime,
   taskKey,
@@ -19,6 +21,7 @@
   fencingTokenOf,
   TaskIndex,
   WorkerTracker,
+  type ListedTask,
   type MessageOutcome,
   type MessagePosition,
   type Order,
@@ -199,6 +202,12 @@
   return { pair, machine, start };
 }
 
+const listedTask = ({ orders }: SentCommand): ListedTask => {
+  const [order] = orders;
+  assert.ok(order);
+  return { ...order, job: jobId('j-1'), index: 0, state: 'running', why: null, saved: false };
+};
+
 const answerTo = (machine: HeldMachine, outcome: MessageOutcome): Order[] =>
   ordersToForget(
     machine,
@@ -221,3 +230,20 @@
     [409, 409],
   );
 });
+
+test('an attempt that had ended and is listed again is counted once, and named by one line with its token', () => {
+  const lines: string[] = [];
+  const log = pino({ base: null, timestamp: false }, { write: (line: string) => lines.push(line) });
+  const { machine, start } = machineAfterForgottenStart();
+  const unexpected = new UnexpectedTasks(shardName('s'), BASE, log);
+  const own = { ...listedTask(start), attempt: attempt(BASE * ATTEMPTS_PER_CLAIM + 1) };
+  unexpected.note(machine, own);
+  unexpected.note(machine, own);
+  unexpected.note(machine, { ...own, key: OTHER_TASK, attempt: attempt(1) });
+  assert.deepEqual(unexpected.counts, { ended: 1, other: 1 });
+  assert.equal(lines.length, 1);
+  const { token, session } = machine.tracker.position;
+  const named = { shard: 's', machine: 'm0', task: TASK, attempt: own.attempt, session, token, total: 1 };
+  const msg = 'a worker lists an attempt that had ended: it has executed its start command once more';
+  assert.deepEqual(JSON.parse(lines[0] ?? ''), { level: 40, ...named, msg });
+});
