Probe silent machines in no block before they are returned to the cloud

What callers saw, at about 4,000 machines that are all up at the start: healthy machines are returned, 150 of 4,004 in the first 60 s.

Cause: an action on stale knowledge. The leader took "no report for 25 s" for the end of a machine. With more machines in no block than a controller has connections for, their workers can't reach it: of 4,004 machines 1,733 were heard (seven tenths of 2,500 connections), and the others counted as silent.

Change: a machine in no block that is silent for so long is probed at the address that the cloud's list names (GET /status, 20 at a time); one that answers is up, and only one that doesn't is returned, a second later.

--- a/src/cloud/wire.ts
+++ b/src/cloud/wire.ts
@@ -30,6 +30,8 @@
   readonly zone: string;
   readonly spot: boolean;
   readonly phase: RentalPhase;
+  /** Address of its worker; empty when the cloud names none. */
+  readonly address: string;
   /** Time since the rental. */
   readonly ageS: number;
 }
@@ -81,6 +83,7 @@
       zone,
       spot: item['flotsam'] === true,
       phase: phase === 'starting' ? 'booting' : phase === 'failed' ? 'failed' : 'running',
+      address: asString(item['address']) ?? '',
       ageS: asNumber(item['age_s']) ?? 0,
     });
   }
--- a/src/leasing/index.ts
+++ b/src/leasing/index.ts
@@ -2,3 +2,4 @@
 export * from './leader.js';
 export * from './plan.js';
 export * from './routing.js';
+export * from './silent-machines.js';
--- a/src/leasing/leader.ts
+++ b/src/leasing/leader.ts
@@ -44,6 +44,7 @@
   type UnassignedMachine,
   type PlannedRent,
 } from './plan.js';
+import { SilentMachines } from './silent-machines.js';
 
 /** What the leader needs from the rest of the node. */
 export interface LeaderDeps {
@@ -81,7 +82,7 @@
   rentedAt: Millis;
   /** When its worker last reported while the machine was in no block; null: never. */
   reportedAt: Millis | null;
-  /** Address of its worker; empty until the worker has reported. */
+  /** Address of its worker, as listed by the cloud or reported; empty until then. */
   address: string;
   /** When the cloud's list last contained it; null: never. */
   listedAt: Millis | null;
@@ -91,6 +92,8 @@
 }
 
 const LIST_INTERVAL_MS = 2500;
+/** A machine in no block is probed when its worker has not reported for this long. */
+const SILENT_MACHINE_S = 25;
 /** How long a kind of machine is not rented again after the cloud could not supply all that were requested. */
 const SOLD_OUT_KIND_BACKOFF_MS = 15_000;
 /** Minimum time between two transfer requests for the same machine. */
@@ -120,6 +123,7 @@
    * Machines that are certainly deleted. The cloud's lists lag and may still contain them; such entries are ignored.
    */
   private readonly gone = new Set<MachineId>();
+  private readonly silentMachines: SilentMachines;
   private term: Revision | null = null;
   private lastListAt = millis(-1e9);
   /** Number of rent calls made by this process. */
@@ -131,6 +135,15 @@
 
   constructor(private readonly deps: LeaderDeps) {
     this.startedAt = deps.runtime.now();
+    this.silentMachines = new SilentMachines({
+      runtime: deps.runtime,
+      heard: (message) => {
+        this.recordUnassignedWorker(message);
+      },
+      requestRound: () => {
+        deps.requestRound();
+      },
+    });
   }
 
   /** Records the report of a worker whose machine is in no block: the machine is up and may be assigned. */
@@ -289,6 +302,7 @@
         const known = this.getOrAddMachine(r.id, r.type, r.zone, r.spot, millis(at - r.ageS * 1000));
         known.rentedAt = millis(Math.min(known.rentedAt, at - r.ageS * 1000));
         known.listedAt = at;
+        if (known.address === '') known.address = r.address;
         known.phase = r.phase;
       }
       // Lists lag and can go back in time, so a machine's absence is conclusive only after twice the lag. The check
@@ -455,8 +469,9 @@
       const silentS = (now - Math.max(known.reportedAt ?? -1e9, this.startedAt)) / 1000;
       const releaseAsked = now - (this.releaseAskedAt.get(known.id) ?? -1e9) < 60_000;
       const neverUp = known.phase === 'booting' && known.reportedAt === null && ageS > bootS * 3.5 + 10;
-      const silent = known.phase === 'running' && silentS > 25;
-      if (releaseAsked || neverUp || silent || known.phase === 'failed' || known.deletionRequested) ids.push(known.id);
+      const ended = releaseAsked || neverUp || known.phase === 'failed' || known.deletionRequested;
+      const silent = known.phase === 'running' && silentS > SILENT_MACHINE_S;
+      if (ended || (silent && this.silentMachines.isGone(known.id, known.address))) ids.push(known.id);
     }
     for (const [id, at] of this.releaseAskedAt) if (now - at > 60_000) this.releaseAskedAt.delete(id);
     if (ids.length === 0 || !this.deps.cloud.canCall()) return;
