Let assignments of machines take turns with submissions once one was refused

What callers saw, at about 4,000 machines that are all up at the start: nothing starts. In 60 s one machine came into a block and 32 tasks were started.

Cause: assignments wait behind all acceptances and are refused after 2 s. With 2,000 submissions at once there are always some; traced: each of seven assignments of some 250 machines, in each round, was refused after 2,000 ms.

Change: once an assignment was refused, assignments are queued among the acceptances, until nothing is left to assign.

--- a/src/leasing/leader.ts
+++ b/src/leasing/leader.ts
@@ -132,6 +132,11 @@
   private startedAt: Millis;
   private listInFlight = false;
   private rentInFlight = false;
+  /**
+   * Submissions have kept an assignment from being written since nothing was left to assign. Assignments then take turns
+   * with submissions instead of waiting for all of them.
+   */
+  private assignmentRefused = false;
 
   constructor(private readonly deps: LeaderDeps) {
     this.startedAt = deps.runtime.now();
@@ -237,6 +242,7 @@
         return known ? (now - known.rentedAt) / 1000 : 0;
       },
     });
+    if (plan.assignments.length === 0) this.assignmentRefused = false;
     await this.assignMachines(plan.assignments, term);
     for (const { machine, from, to } of plan.transfers) this.requestTransfer(machine, from, to, shards, now);
     for (const { machine, from } of plan.releases) {
@@ -383,7 +389,9 @@
     );
     for (const { key, version } of change.guards) guards.set(key, { key, version: version as Revision });
     guards.set(LEADER_KEY, { key: LEADER_KEY, version: term });
-    const result = await state.txn(Urgency.shard, [...guards.values()], change.ops);
+    const urgency = this.assignmentRefused ? Urgency.accept : Urgency.shard;
+    const result = await state.txn(urgency, [...guards.values()], change.ops);
+    this.assignmentRefused ||= result.kind === 'refused';
     const ids = taken.map((m) => m.id);
     if (result.kind === 'ok') {
       log.info({ shard: to, machines: ids, term, revision: result.revision }, 'assigned machines to a shard');
