Test that machines come into blocks during a burst of submissions

Change: 400 jobs at once, and as many a minute, at 10 changes a second; all 120 machines have to be in blocks within a worker's lease.

--- a/packages/region/test/large-fleets.test.ts
+++ b/packages/region/test/large-fleets.test.ts
@@ -47,3 +47,44 @@
   assert.deepEqual(await machinesReturnedAsSilent('this'), []);
   assert.ok((await machinesReturnedAsSilent('before-raised-tokens')).length > 0, 'an earlier release returns some');
 });
+
+const BURST_DAY_S = 30;
+const BURST_JOBS = 400;
+const BURST_MACHINES_PER_ZONE = 60;
+
+/** A day that begins with more submissions than the state service takes changes for in its first half minute. */
+function burstDay(release: string): SimulationScenario {
+  const day = shortDay(BURST_DAY_S, []);
+  return {
+    ...day,
+    controllers: { ...day.controllers, releases: [release, release, release] },
+    state: { ...day.state, write_rps: 10 },
+    machines: ZONES.map((zone) => ({ type: 'desk', zone, spot: false, count: BURST_MACHINES_PER_ZONE })),
+    capacity: day.capacity.map((entry) => ({ ...entry, ordinary: BURST_MACHINES_PER_ZONE })),
+    classes: day.classes.map((c) =>
+      c.name === 'letters'
+        ? { ...c, initial: BURST_JOBS, per_minute: BURST_JOBS }
+        : { ...c, initial: 0, per_minute: 0 },
+    ),
+  };
+}
+
+/** How many machines have come into a block within a lease. */
+async function assignedWithinLease(release: string): Promise<number> {
+  const day = burstDay(release);
+  let assigned = 0;
+  const write = (line: string): void => {
+    const { msg, time, machines } = JSON.parse(line) as MachineLine & { readonly time: number };
+    if (msg === 'assigned machines to a shard' && time < day.workers.lease_s) assigned += machines?.length ?? 0;
+  };
+  const region = new Region({ day, controllerLog: { level: 'info', write } });
+  await region.play();
+  const { breaches, defects } = region.close();
+  assert.deepEqual([breaches, defects], [[], []]);
+  return assigned;
+}
+
+test('machines come into blocks while more jobs are submitted than the state service takes changes for', async () => {
+  assert.equal(await assignedWithinLease('this'), ZONES.length * BURST_MACHINES_PER_ZONE);
+  assert.ok((await assignedWithinLease('before-raised-tokens')) < 10, 'in an earlier release next to none do');
+});
