--- a/review/standins-2/region.mjs
+++ b/review/standins-2/region.mjs
@@ -20,6 +20,7 @@
   biurko: { sku: 'biurko', vcpus: 16, accelerators: 0, ram_gb: 32, cache_gb: 25, fetch_gb_per_s: 0.8, rate: 0.83, low_price: 0.21, startup_s: 25 },
   magazyn: { sku: 'magazyn', vcpus: 64, accelerators: 0, ram_gb: 256, cache_gb: 60, fetch_gb_per_s: 0.8, rate: 3.33, low_price: 0.73, startup_s: 25 },
   dispensary: { sku: 'dispensary', vcpus: 16, accelerators: 0, ram_gb: 64, cache_gb: 30, fetch_gb_per_s: 1.0, rate: 1.13, low_price: 0.4, startup_s: 15 },
+  theatre: { sku: 'theatre', vcpus: 24, accelerators: 2, ram_gb: 192, cache_gb: 150, fetch_gb_per_s: 0.4, rate: 7.89, low_price: 2.59, startup_s: 50 },
 };
 const typesAt = (...names) => names.map((name) => TYPES[name]);
 
@@ -42,7 +43,7 @@
   state: { rps: 200, write_rps: 40, value_kb: 32, txn_ops: 16 },
   cloud: { rps: 6, list_lag_s: 6 },
   max_connections: 2500,
-  types: typesAt('dispensary'),
+  types: typesAt('dispensary', 'theatre'),
 };
 const CONTROLLERS = 3;
 
