Compute inherited deadlines on demand instead of passing them on depth first

Cause: propagateInheritance followed changed deadlines depth first, so a job was computed again for each intermediate value of each dependent: 4^15 computations in one turn of the event loop, on every controller.

Three stacks of a hung process lie in submit, Mirror.apply, onJobChange, JobGraph.add, propagateInheritance.

Why it works: results are computed when asked for, dependents first, and kept; a change discards each kept result at most once. Both cost at most one step for each job and link concerned, in whatever order jobs came.

Tests: 'a deadline at the end of a pipeline of wide stages does not stop all controllers' and 'one change of a graph of any shape costs no more computations than it has jobs and links' fail on the sources before (stopped at 1,000,000 computations; bound exceeded) and pass now.

--- a/src/pipelines/dependency-tracker.ts
+++ b/src/pipelines/dependency-tracker.ts
@@ -17,7 +17,8 @@
 } from '../kernel/index.js';
 import { jobKey, JOBS_PREFIX, type Change, type Mirror } from '../state/index.js';
 import { slackOf, type ClassObjective } from '../placement/index.js';
-import { withInheritedConstraints, JobGraph, stepDurationS, type InheritedConstraints } from './job-graph.js';
+import { stepDurationS, withInheritedConstraints, type InheritedConstraints } from './inherited-constraints.js';
+import { JobGraph } from './job-graph.js';
 
 /** Maximum number of concurrent reads, and of concurrent writes: after a claim there may be thousands to process. */
 const MAX_CONCURRENT_REQUESTS = 4;
--- a/src/pipelines/index.ts
+++ b/src/pipelines/index.ts
@@ -1,2 +1,3 @@
+export * from './inherited-constraints.js';
 export * from './job-graph.js';
 export * from './dependency-tracker.js';
--- a/src/pipelines/job-graph.ts
+++ b/src/pipelines/job-graph.ts
@@ -1,46 +1,7 @@
-import { Priority, type FinalPhase, type JobSpec } from '../jobs/index.js';
-import type { JobId, WallMillis } from '../kernel/index.js';
-
-/** Priority and deadline that a job inherits from the open jobs that depend on it, directly or transitively. */
-export interface InheritedConstraints {
-  /** The highest priority among those jobs. */
-  readonly priority: Priority;
-  /**
-   * When the job has to be done so that those jobs can meet their deadlines, as wall-clock time in milliseconds; null
-   * when none of them has a deadline.
-   */
-  readonly dueAt: number | null;
-}
-
-/** An open job that depends on other jobs. */
-export interface DependentJob {
-  readonly spec: JobSpec;
-  readonly submittedAt: WallMillis;
-  /** The jobs that have to be done before this one may start. */
-  readonly awaits: readonly JobId[];
-}
-
-/**
- * Returns the job's spec with the priority and the deadline that it inherits. A priority above normal is inherited only
- * once the deadline is close (`pressing`). Until then the job counts as an ordinary job with a deadline; otherwise
- * whole chains would be placed before other jobs whose own deadlines are just as close.
- */
-export function withInheritedConstraints(
-  { spec, submittedAt }: Pick<DependentJob, 'spec' | 'submittedAt'>,
-  inherited: InheritedConstraints | null,
-  pressing: boolean,
-): JobSpec {
-  if (!inherited) return spec;
-  const { priority: inheritedPriority, dueAt } = inherited;
-  const priority = Math.max(
-    spec.priority,
-    pressing ? inheritedPriority : Math.min(inheritedPriority, Priority.normal),
-  ) as Priority;
-  const inheritedDeadlineS = dueAt === null ? null : (dueAt - submittedAt) / 1000;
-  const deadlineS =
-    inheritedDeadlineS === null ? spec.deadlineS : Math.min(inheritedDeadlineS, spec.deadlineS ?? inheritedDeadlineS);
-  return { ...spec, priority, deadlineS };
-}
+/** The dependency graph of open jobs. */
+import type { FinalPhase, JobSpec } from '../jobs/index.js';
+import type { JobId } from '../kernel/index.js';
+import { InheritedConstraintsCache, type DependentJob, type InheritedConstraints } from './inherited-constraints.js';
 
 /** A job in the graph. */
 interface JobNode extends DependentJob {
@@ -59,25 +20,6 @@
 }
 
 const NO_EFFECTS: FinalEffects = { ready: [], toCancel: [] };
-/** An array is done when its slowest task is: expected run time of that task as a multiple of the estimate. */
-const SLOWEST_TASK_FACTOR = 1.3;
-/**
- * Time from the end of a job's last task to the start of its dependent's first one, in seconds: storing the final
- * state, the watch, reading the final state, and the start command.
- */
-const STEP_OVERHEAD_S = 2;
-
-/**
- * Returns how long before its deadline a job has to be ready to start, in seconds: the run time by its owner's
- * estimate, the image fetch and the step overhead.
- */
-export const stepDurationS = (spec: JobSpec, fetchS: number): number =>
-  spec.estimateS * (spec.kind === 'array' && spec.tasks > 1 ? SLOWEST_TASK_FACTOR : 1) + fetchS + STEP_OVERHEAD_S;
-
-/** Returns the earlier of two times; null stands for none. */
-const earliest = (a: number | null, b: number | null): number | null =>
-  a === null ? b : b === null ? a : Math.min(a, b);
-
 /**
  * The dependency graph of open jobs: which jobs await which others, the known final states of those, and the priority
  * and deadline that each job inherits. It is updated incrementally; no update iterates over all waiting jobs. It uses
@@ -88,13 +30,19 @@
   private readonly nodes = new Map<JobId, JobNode>();
   /** Jobs that await a job, by the job that they await. */
   private readonly dependents = new Map<JobId, Set<JobId>>();
-  /** What each job inherits that an open job depends on. */
-  private readonly inherited = new Map<JobId, InheritedConstraints>();
+  /** What each job inherits. */
+  private readonly inherited: InheritedConstraintsCache;
   /** Jobs whose pending dependencies may all run already. */
   private readonly upcoming = new Set<JobId>();
 
   /** `fetchS` returns the approximate time that fetching a job's image takes, in seconds. */
-  constructor(private readonly fetchS: (spec: JobSpec) => number = () => 0) {}
+  constructor(fetchS: (spec: JobSpec) => number = () => 0) {
+    const links = {
+      jobOf: (id: JobId): DependentJob | undefined => this.nodes.get(id),
+      dependentsOf: (id: JobId): Iterable<JobId> => this.liveDependentsOf(id),
+    };
+    this.inherited = new InheritedConstraintsCache(links, fetchS);
+  }
 
   /** Returns whether the job is in the graph, that is, open and dependent on others. */
   has(id: JobId): boolean {
@@ -125,7 +73,7 @@
       if (!dependents) this.dependents.set(dependency, (dependents = new Set()));
       dependents.add(id);
     }
-    this.propagateInheritance(job.awaits);
+    this.inherited.onJobAdded(id);
     this.updateUpcoming(id);
     const toCancel: JobId[] = [];
     if (job.awaits.some((dependency) => this.mustBeCancelled(dependency))) this.markForCancellation(id, toCancel);
@@ -136,6 +84,7 @@
   remove(id: JobId): void {
     const node = this.nodes.get(id);
     if (!node) return;
+    this.inherited.discard([id, ...node.awaits]);
     this.nodes.delete(id);
     this.upcoming.delete(id);
     for (const dependent of this.dependents.get(id) ?? []) this.updateUpcoming(dependent);
@@ -144,7 +93,6 @@
       dependents?.delete(id);
       if (dependents?.size === 0) this.dependents.delete(dependency);
     }
-    this.propagateInheritance(node.awaits);
   }
 
   /**
@@ -180,6 +128,7 @@
     for (let id = stack.pop(); id !== undefined; id = stack.pop()) {
       const node = this.nodes.get(id);
       if (!node || node.mustBeCancelled) continue;
+      this.inherited.discard([id]);
       node.mustBeCancelled = true;
       this.upcoming.delete(id);
       toCancel.push(id);
@@ -238,38 +187,12 @@
 
   /** What a job inherits; null when no open job depends on it. */
   inheritedOf(id: JobId): InheritedConstraints | null {
-    return this.inherited.get(id) ?? null;
-  }
-
-  /** Recomputes what jobs inherit, and continues with a job's own dependencies only where the result has changed. */
-  private propagateInheritance(changed: readonly JobId[]): void {
-    const stack = [...changed];
-    for (let id = stack.pop(); id !== undefined; id = stack.pop()) {
-      const previous = this.inherited.get(id);
-      const current = this.computeInherited(id);
-      if (previous?.priority === current?.priority && previous?.dueAt === current?.dueAt) continue;
-      if (current) this.inherited.set(id, current);
-      else this.inherited.delete(id);
-      stack.push(...(this.nodes.get(id)?.awaits ?? []));
-    }
+    return this.dependents.has(id) ? this.inherited.of(id) : null;
   }
 
-  /** Computes what a job inherits from its direct dependents and from what those inherit themselves. */
-  private computeInherited(id: JobId): InheritedConstraints | null {
-    let combined: InheritedConstraints | null = null;
-    for (const dependent of this.dependents.get(id) ?? []) {
-      const node = this.nodes.get(dependent);
-      if (!node || node.mustBeCancelled) continue;
-      const { spec, submittedAt } = node;
-      const transitive = this.inherited.get(dependent);
-      const ownDeadline = spec.deadlineS === null ? null : submittedAt + spec.deadlineS * 1000;
-      const deadline = earliest(ownDeadline, transitive?.dueAt ?? null);
-      const dueAt = deadline === null ? null : deadline - stepDurationS(spec, this.fetchS(spec)) * 1000;
-      const priority = Math.max(spec.priority, transitive?.priority ?? 0) as Priority;
-      combined = combined
-        ? { priority: Math.max(combined.priority, priority) as Priority, dueAt: earliest(combined.dueAt, dueAt) }
-        : { priority, dueAt };
-    }
-    return combined;
+  /** Yields the open jobs that depend on a job directly, less those that have to be cancelled. */
+  private *liveDependentsOf(id: JobId): Generator<JobId> {
+    for (const dependent of this.dependents.get(id) ?? [])
+      if (this.nodes.get(dependent)?.mustBeCancelled === false) yield dependent;
   }
 }
--- a/test/pipelines.test.ts
+++ b/test/pipelines.test.ts
@@ -3,7 +3,7 @@
 import fc from 'fast-check';
 import { Priority, type FinalPhase, type JobSpec } from '../src/jobs/index.js';
 import { jobId, wallMillis, type JobId } from '../src/kernel/index.js';
-import { JobGraph, stepDurationS } from '../src/pipelines/index.js';
+import { JobGraph, stepDurationS, type DependentJob } from '../src/pipelines/index.js';
 import { spec } from './standins/jobs.js';
 
 /** Priority and deadline that the model expects a job to inherit. */
@@ -62,7 +62,7 @@
 }
 
 const step = fc.record({
-  kind: fc.constantFrom('submit', 'submit', 'finish', 'finish', 'cancel', 'tell', 'tell'),
+  kind: fc.constantFrom('submit', 'submit', 'finish', 'finish', 'cancel', 'tell', 'tell', 'ask', 'ask'),
   pick: fc.nat(1000),
   awaits: fc.array(fc.nat(1000), { maxLength: 4 }),
   priority: fc.constantFrom(...Object.values(Priority)),
@@ -113,7 +113,8 @@
           if (final !== null && delivered.has(dependency)) graph.recordFinal(dependency, final, 0);
         }
       }
-    } else if (kind === 'tell') undelivered.splice(pick % Math.max(1, undelivered.length), 1)[0]?.();
+    } else if (kind === 'ask') graph.inheritedOf(ids[pick % Math.max(1, ids.length)] ?? jobId('j-none'));
+    else if (kind === 'tell') undelivered.splice(pick % Math.max(1, undelivered.length), 1)[0]?.();
     else {
       const id = open()[pick % Math.max(1, open().length)];
       if (id === undefined) continue;
@@ -145,7 +146,113 @@
         assert.deepEqual(graph.inheritedOf(id), model.inherited(id), id);
       }
     }),
-    { seed: 11, numRuns: 400 },
+    { seed: 11, numRuns: 2000 },
+  );
+});
+
+/** Builds a graph that counts how often what a job passes on to its dependencies is computed. */
+function countingGraph(): { readonly graph: JobGraph; readonly computations: () => number } {
+  let computations = 0;
+  const graph = new JobGraph(() => {
+    computations += 1;
+    // A regression would compute for hours.
+    assert.ok(computations < 1_000_000, 'inherited constraints are computed far too often');
+    return 1;
+  });
+  return { graph, computations: () => computations };
+}
+
+test('a deadline at the end of a pipeline of wide stages does not stop all controllers', () => {
+  const [stages, width] = [15, 4];
+  const { graph, computations } = countingGraph();
+  const stageIds = (stage: number): JobId[] => Array.from({ length: width }, (_, i) => jobId(`j-${stage}-${i}`));
+  const first = stageIds(0);
+  // The estimates are such that a depth-first propagation recomputes each stage once for each path to it.
+  for (let stage = 1; stage < stages; stage++) {
+    for (const [i, id] of stageIds(stage).entries()) {
+      const estimateS = 10 + (width - i) * width ** stage * 1e-6;
+      graph.add(id, { spec: spec({ id, estimateS }), submittedAt: wallMillis(stage), awaits: stageIds(stage - 1) });
+    }
+    for (const id of first) graph.inheritedOf(id);
+  }
+  const last = jobId('j-last');
+  const before = computations();
+  graph.add(last, {
+    spec: spec({ id: last, deadlineS: 3600, priority: Priority.high }),
+    submittedAt: wallMillis(stages),
+    awaits: stageIds(stages - 1),
+  });
+  for (const id of first) assert.equal(graph.inheritedOf(id)?.priority, Priority.high);
+  const links = (stages - 1) * width * width + width;
+  assert.ok(computations() - before <= stages * width + links, `${computations() - before} computations`);
+});
+
+interface StagedJob extends DependentJob {
+  readonly id: JobId;
+  readonly stage: number;
+}
+
+/** What the jobs inherit, computed from all jobs of the graph, the last stage first. */
+function expectedInheritance(graph: JobGraph, jobs: readonly StagedJob[]): Map<JobId, ExpectedInherited> {
+  const inherited = new Map<JobId, ExpectedInherited>();
+  for (const job of [...jobs].sort((a, b) => b.stage - a.stage)) {
+    if (!graph.has(job.id) || graph.mustBeCancelled(job.id)) continue;
+    const transitive = inherited.get(job.id);
+    const ownDueAt = job.spec.deadlineS === null ? Infinity : job.submittedAt + job.spec.deadlineS * 1000;
+    const dueAt = Math.min(ownDueAt, transitive?.dueAt ?? Infinity) - stepDurationS(job.spec, 1) * 1000;
+    const priority = Math.max(job.spec.priority, transitive?.priority ?? 0);
+    const passedOn = { priority, dueAt: Number.isFinite(dueAt) ? dueAt : null };
+    for (const id of job.awaits) inherited.set(id, combine(inherited.get(id) ?? null, passedOn));
+  }
+  return inherited;
+}
+
+test('one change of a graph of any shape costs no more computations than it has jobs and links', () => {
+  const drawn = fc.record({
+    jobs: fc.array(
+      fc.record({
+        stage: fc.nat(9),
+        estimateS: fc.integer({ min: 1, max: 1000 }),
+        deadlineS: fc.option(fc.integer({ min: 10, max: 5000 }), { freq: 4 }),
+        priority: fc.constantFrom(...Object.values(Priority)),
+        position: fc.nat(),
+      }),
+      { minLength: 10, maxLength: 60 },
+    ),
+    skippedStages: fc.nat(3),
+    ends: fc.array(fc.record({ at: fc.nat(), cancelled: fc.boolean() }), { maxLength: 20 }),
+  });
+  fc.assert(
+    fc.property(drawn, ({ jobs, skippedStages, ends }) => {
+      const { graph, computations } = countingGraph();
+      const ids = jobs.map((_, i) => jobId(`j-${i}`));
+      const awaitsOf = (stage: number): JobId[] =>
+        ids.filter((_, i) => {
+          const other = jobs[i]?.stage ?? 0;
+          return other < stage && other >= stage - 1 - skippedStages;
+        });
+      const all = jobs.map(({ stage, position, ...over }, i) => {
+        const id = ids[i] ?? jobId('j-none');
+        const job = { spec: spec({ id, ...over }), submittedAt: wallMillis(0), awaits: awaitsOf(stage) };
+        return { id, stage, position, ...job };
+      });
+      const size = all.reduce((sum, { awaits }) => sum + 1 + awaits.length, 0);
+      const change = (apply: () => void): void => {
+        const before = computations();
+        apply();
+        const inherited = ids.map((id) => graph.inheritedOf(id));
+        assert.ok(computations() - before <= size, `${computations() - before} computations, ${size} jobs and links`);
+        const expected = expectedInheritance(graph, all);
+        for (const [i, id] of ids.entries()) assert.deepEqual(inherited[i], expected.get(id) ?? null, id);
+      };
+      // Stored jobs are read in the order of their ids, in which dependents may come before their dependencies.
+      for (const job of [...all].sort((a, b) => a.position - b.position)) change(() => graph.add(job.id, job));
+      for (const { at, cancelled } of ends) {
+        const id = ids[at % ids.length] ?? jobId('j-none');
+        change(() => (cancelled ? graph.recordFinal(id, 'cancelled', 0) : graph.remove(id)));
+      }
+    }),
+    { seed: 62, numRuns: 150 },
   );
 });
 
