Follow each link of a pipeline once when a job becomes ready

What callers could see: controllers that answer nothing for seconds when a job of a wide pipeline ends.

Cause: whether a job is upcoming was decided from all its dependencies again, for each of them that became ready.

Why it works: a job counts its dependencies that wait themselves, and the count changes when one of them begins or ceases to wait.

Test: 'the end of a job that a wide pipeline waits for does not stop the controllers' stops at its bound of lookups without the fix and passes now. The drawn graphs also compare upcoming jobs with the plain model.

--- a/src/pipelines/job-graph.ts
+++ b/src/pipelines/job-graph.ts
@@ -7,6 +7,8 @@
 interface JobNode extends DependentJob {
   /** The dependencies that are not known to be done. */
   readonly pending: Set<JobId>;
+  /** How many of the pending dependencies wait for dependencies of their own. */
+  waitingDependencies: number;
   /** When the last dependency known to be done was done, as wall-clock time in milliseconds. */
   readyAt: number;
   /** True when the job has to be cancelled because a dependency was cancelled. */
@@ -67,7 +69,10 @@
   add(id: JobId, job: DependentJob): readonly JobId[] {
     if (this.nodes.has(id)) return [];
     const pending = new Set(job.awaits);
-    this.nodes.set(id, { ...job, pending, readyAt: job.submittedAt, mustBeCancelled: false });
+    const waitingDependencies = job.awaits.filter((dependency) => this.waits(dependency)).length;
+    const flags = { readyAt: job.submittedAt, mustBeCancelled: false };
+    this.nodes.set(id, { ...job, pending, waitingDependencies, ...flags });
+    if (this.waits(id)) this.onWaitingChanged(id, +1);
     for (const dependency of job.awaits) {
       let dependents = this.dependents.get(dependency);
       if (!dependents) this.dependents.set(dependency, (dependents = new Set()));
@@ -85,9 +90,9 @@
     const node = this.nodes.get(id);
     if (!node) return;
     this.inherited.discard([id, ...node.awaits]);
+    if (this.waits(id)) this.onWaitingChanged(id, -1);
     this.nodes.delete(id);
     this.upcoming.delete(id);
-    for (const dependent of this.dependents.get(id) ?? []) this.updateUpcoming(dependent);
     for (const dependency of node.awaits) {
       const dependents = this.dependents.get(dependency);
       dependents?.delete(id);
@@ -109,11 +114,12 @@
       if (phase === 'cancelled') this.markForCancellation(dependent, toCancel);
       else if (node.pending.delete(id)) {
         node.readyAt = Math.max(node.readyAt, at);
+        if (this.waits(id)) node.waitingDependencies -= 1;
         if (node.pending.size === 0) {
           ready.push(dependent);
-          this.upcoming.delete(dependent);
-          for (const later of this.dependents.get(dependent) ?? []) this.updateUpcoming(later);
+          this.onWaitingChanged(dependent, -1);
         }
+        this.updateUpcoming(dependent);
       }
     }
     return { ready, toCancel };
@@ -136,12 +142,27 @@
     }
   }
 
-  /** Adds a job to the upcoming ones if all its pending dependencies may run. */
+  /** Returns whether an open job has pending dependencies. */
+  private waits(id: JobId): boolean {
+    return (this.nodes.get(id)?.pending.size ?? 0) > 0;
+  }
+
+  /** Updates a job's dependents after it has begun (`change` is +1) or ceased (-1) to wait for dependencies. */
+  private onWaitingChanged(id: JobId, change: 1 | -1): void {
+    for (const dependent of this.dependents.get(id) ?? []) {
+      const node = this.nodes.get(dependent);
+      if (!node?.pending.has(id)) continue;
+      node.waitingDependencies += change;
+      this.updateUpcoming(dependent);
+    }
+  }
+
+  /** Adds a job to the upcoming ones if all its pending dependencies may run, and removes it otherwise. */
   private updateUpcoming(id: JobId): void {
     const node = this.nodes.get(id);
-    if (!node || node.mustBeCancelled || node.pending.size === 0) return;
-    for (const dependency of node.pending) if ((this.nodes.get(dependency)?.pending.size ?? 0) > 0) return;
-    this.upcoming.add(id);
+    if (!node || node.mustBeCancelled) return;
+    if (node.pending.size > 0 && node.waitingDependencies === 0) this.upcoming.add(id);
+    else this.upcoming.delete(id);
   }
 
   /** Yields at most `limit` jobs whose pending dependencies may all run already, the longest known first. */
--- a/test/pipelines.test.ts
+++ b/test/pipelines.test.ts
@@ -5,6 +5,7 @@
 import { jobId, wallMillis, type JobId } from '../src/kernel/index.js';
 import { JobGraph, stepDurationS, type DependentJob } from '../src/pipelines/index.js';
 import { spec } from './standins/jobs.js';
+import { countLookups } from './standins/operation-count.js';
 
 /** Priority and deadline that the model expects a job to inherit. */
 interface ExpectedInherited {
@@ -45,6 +46,12 @@
     return this.jobOf(id).awaits.every((dependency) => this.jobOf(dependency).final === 'done');
   }
 
+  /** Whether the job waits for jobs that may all run already, and for no other. */
+  isUpcoming(id: JobId): boolean {
+    const pending = this.jobOf(id).awaits.filter((dependency) => this.jobOf(dependency).final !== 'done');
+    return pending.length > 0 && pending.every((dependency) => this.isReady(dependency));
+  }
+
   /** Highest priority and earliest due time among all open jobs that depend on this one, along every path. */
   inherited(id: JobId): ExpectedInherited | null {
     let combined: ExpectedInherited | null = null;
@@ -145,6 +152,11 @@
         else assert.ok(model.isReady(id), `${id} waits, but the graph does not have it`);
         assert.deepEqual(graph.inheritedOf(id), model.inherited(id), id);
       }
+      const open = [...model.jobs].filter(([, { final }]) => final === null).map(([id]) => id);
+      assert.deepEqual(
+        [...graph.upcomingJobs(Infinity)].map(({ id }) => id).sort(),
+        open.filter((id) => model.isUpcoming(id)).sort(),
+      );
     }),
     { seed: 11, numRuns: 2000 },
   );
@@ -295,3 +307,29 @@
   graph.remove(end);
   assert.deepEqual(graph.inheritedOf(top), { priority: Priority.low, dueAt: null });
 });
+
+test('the end of a job that a wide pipeline waits for does not stop the controllers', () => {
+  const width = 150;
+  const stage = (name: string): JobId[] => Array.from({ length: width }, (_, i) => jobId(`j-${name}-${i}`));
+  const [first, second, third] = [stage('a'), stage('b'), stage('c')] as const;
+  const graph = new JobGraph();
+  const add = (id: JobId, awaits: readonly JobId[]): void => {
+    graph.add(id, { spec: spec({ id }), submittedAt: wallMillis(0), awaits });
+  };
+  // Each change may look at the links of the jobs that it concerns a few times, and not at the links of those again.
+  const most = 10 * 2 * width * width;
+  for (const id of second) countLookups(most, () => add(id, first));
+  for (const id of third) countLookups(most, () => add(id, second));
+  for (const id of first) {
+    countLookups(most, () => {
+      graph.recordFinal(id, 'done', 1);
+      graph.remove(id);
+    });
+  }
+  assert.deepEqual(
+    [...graph.upcomingJobs(2 * width)].map(({ id }) => id).sort(),
+    [...third].sort(),
+    'the third stage is upcoming once the second may run',
+  );
+  for (const id of second) countLookups(most, () => graph.remove(id));
+});
