Sum the resources of preempted tasks as they are chosen

What callers could see: a holder whose rounds take seconds beside a machine with many small tasks. Found by reading; shown in one process.

Cause: victimsFor summed all tasks chosen so far again before it chose the next one, three times, for each machine and waiting job.

Evidence, processor time of a plan for a service that fits nowhere, over 20 machines of n small tasks: n = 400: 36 ms before, 9 ms now; n = 1,600: 245 ms and 16 ms.

Why it works: the sums are kept while tasks are added, in the same order, so plans are the same.

Test: 'a job that finds no room beside many small tasks does not hold up the holder' reads 2,001,000 times for 2,000 tasks on the sources before, at most 20,000 now.

--- a/src/placement/preempt.ts
+++ b/src/placement/preempt.ts
@@ -139,17 +139,20 @@
   stopped: ReadonlySet<string>,
 ): PreemptableTask[] | null {
   const victims: PreemptableTask[] = [];
-  const sum = (of: (task: PreemptableTask) => number): number => victims.reduce((total, task) => total + of(task), 0);
+  const released = { cpus: 0, gpus: 0, memoryGb: 0 };
   const isEnough = (): boolean =>
-    machine.cpus + machine.releasing.cpus + sum((task) => task.cpus) + EPSILON >= spec.cpus &&
-    machine.gpus + machine.releasing.gpus + sum((task) => task.gpus) + EPSILON >= spec.gpus &&
-    machine.memoryGb + machine.releasing.memoryGb + sum((task) => task.memoryGb) + EPSILON >= spec.memoryGb;
+    machine.cpus + machine.releasing.cpus + released.cpus + EPSILON >= spec.cpus &&
+    machine.gpus + machine.releasing.gpus + released.gpus + EPSILON >= spec.gpus &&
+    machine.memoryGb + machine.releasing.memoryGb + released.memoryGb + EPSILON >= spec.memoryGb;
   const order = machine.view.running
     .filter((task) => task.priority < spec.priority && !task.stopping && !stopped.has(`${task.job}/${task.index}`))
     .sort((a, b) => a.priority - b.priority || a.lossS - b.lossS);
   for (const task of order) {
     if (isEnough()) break;
     victims.push(task);
+    released.cpus += task.cpus;
+    released.gpus += task.gpus;
+    released.memoryGb += task.memoryGb;
   }
   return isEnough() ? victims : null;
 }
