Don't place gangs of more tasks than a plan may start

What callers could see: holders whose rounds take seconds while large gangs of small tasks wait. Found by reading; shown in one process.

Cause: a plan found a machine for every task of a gang, or tasks to preempt for it, and only then saw that the gang has more tasks than one plan may start. A submission of some 300 bytes can ask for 100,000 tasks, and each of these gangs was placed anew in every round.

Why it works: such a gang counts as one without room before it is tried.

Test: 'a gang of more tasks than a plan may start does not hold up the holder' fails on the sources before and passes now.

--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -106,7 +106,8 @@
     const equivalenceClass = equivalenceClassOf(spec);
     const isUnplaceable =
       spec.kind === 'gang'
-        ? job.ready.length >= (smallestUnplaceableGang.get(equivalenceClass) ?? Infinity)
+        ? job.ready.length > input.maxStarts ||
+          job.ready.length >= (smallestUnplaceableGang.get(equivalenceClass) ?? Infinity)
         : unplaceableClasses.has(equivalenceClass);
     if (isUnplaceable) {
       if (withinWholeLimit(spec, spec.kind === 'gang' ? job.ready.length : 1)) {
--- a/test/plan-cost.test.ts
+++ b/test/plan-cost.test.ts
@@ -43,3 +43,18 @@
   // Each task may be looked at a few times, but not again for each of the others.
   assert.ok(reads.count <= 10 * tasks, `${reads.count} reads for ${tasks} tasks`);
 });
+
+test('a gang of more tasks than a plan may start does not hold up the holder', () => {
+  const reads = new CpuReads();
+  const machines = Array.from({ length: 50 }, (_, i) => machineView(`m-${i}`, { cpus: 64, freeCpus: 64 }));
+  const small = { kind: 'gang', cpus: 0.01, memoryGb: 0.001 } as const;
+  const gang = (tasks: number) => pendingJob(reads.of(spec({ id: `j-${tasks}`, tasks, ...small })), { slackS: 10 });
+  const plan = (tasks: number) =>
+    planPlacement({ machines, pending: [gang(tasks)], teams: new Map(), maxStarts: 200, reserve: null });
+  assert.equal(plan(200).starts.length, 200);
+  const before = reads.count;
+  const { starts, stops, unplaced } = plan(100_000);
+  assert.deepEqual([starts, stops, unplaced], [[], [], [{ job: 'j-100000', count: 100_000 }]]);
+  // A gang that the plan can't start costs no more than the largest one that it can.
+  assert.ok(reads.count - before <= before, `${reads.count - before} reads, ${before} for 200 tasks`);
+});
