Look at a job's tasks once for all failures in one report

What callers could see: reports answered late while many tasks of a large job fail. Found by reading; shown in one process.

Cause: each failed task looked at all active tasks of its job, to see whether any has run for long enough.

Evidence: 500 failures of a job with 2,000 active tasks made 1,000,000 task reads twice over before, at most 4,000 now.

Why it works: nothing can have changed between two failures at the same moment, and once a task has run for long enough that stays so.

Test: 'failures of many tasks in one report do not each look at all tasks of the job' counts 2,000,000 reads on the sources before.

--- a/src/holder/index.ts
+++ b/src/holder/index.ts
@@ -2,7 +2,7 @@
 export type { HolderDeps, OperatorSettingsView, ReportReply } from './deps.js';
 export * from './shard-holder.js';
 export { HeldMachine } from './held-machine.js';
-export { JobRun } from './job-run.js';
+export { JobRun, orderedTask } from './job-run.js';
 export { ordersToForget } from './forget-orders.js';
 export { mustStopBeforeReclaim } from './evictions.js';
 export { ATTEMPTS_PER_CLAIM, UnexpectedTasks, type UnexpectedTaskCounts } from './unexpected-tasks.js';
--- a/src/holder/job-run.ts
+++ b/src/holder/job-run.ts
@@ -84,6 +84,8 @@
   private failedRetries = 0;
   /** Whether a task of it has run for `STABLE_RUN_MS`. */
   private hasRunStably = false;
+  /** When the run times of all active tasks were last looked at. */
+  private allNotedAt: Millis | null = null;
   /** Tasks that were restarted as stragglers. */
   readonly restarted = new Set<number>();
   /** Run times of the last completed tasks, in seconds. */
@@ -205,11 +207,18 @@
     if (task.runningAt !== null && now - task.runningAt >= STABLE_RUN_MS) this.hasRunStably = true;
   }
 
+  /** Does the same for all active tasks, once for all failures that one report lists. */
+  private noteAllRunning(now: Millis): void {
+    if (this.hasRunStably || this.allNotedAt === now) return;
+    this.allNotedAt = now;
+    for (const task of this.active.values()) this.noteRunning(task, now);
+  }
+
   /** Records a failed task. All failures before the next retry count as one; `jitter` is between 0 and 1. */
   noteError(machine: MachineId, now: Millis, jitter: number): void {
     this.errorMachines.add(machine);
     this.avoidMachine(machine, now);
-    for (const task of this.active.values()) this.noteRunning(task, now);
+    this.noteAllRunning(now);
     if (!this.failsEverywhere || now < this.notBefore) return;
     const backoffMs = Math.min(MAX_BACKOFF_MS, INITIAL_BACKOFF_MS * 2 ** this.failedRetries);
     this.failedRetries += 1;
--- a/test/faulty-jobs.test.ts
+++ b/test/faulty-jobs.test.ts
@@ -2,8 +2,9 @@
 import { test } from 'node:test';
 import { spec } from './standins/jobs.js';
 import { machineView, pendingJob } from './standins/placement.js';
-import { HeldMachine, JobRun } from '../src/holder/index.js';
+import { HeldMachine, JobRun, orderedTask } from '../src/holder/index.js';
 import {
+  attempt,
   BitSet,
   createLogger,
   jobId,
@@ -14,6 +15,7 @@
   SocketBudget,
   systemRuntime,
   wallMillis,
+  type Millis,
 } from '../src/kernel/index.js';
 import { planPlacement, type MachineView, type PendingJob } from '../src/placement/index.js';
 import { TaskIndex } from '../src/workers/index.js';
@@ -110,3 +112,24 @@
   assert.equal(plan(full, [suspect]).stops.length, 0);
   assert.equal(plan(full, [{ ...suspect, suspect: false }]).stops.length, 1);
 });
+
+test('failures of many tasks in one report do not each look at all tasks of the job', () => {
+  const tasks = 2000;
+  const job = run({ id: 'j-1', tasks });
+  let reads = 0;
+  const addTask = (index: number, runningAt: Millis): void => {
+    const task = orderedTask({ index, attempt: attempt(1) }, m(index), millis(0), { adopted: false });
+    const read = (): Millis => {
+      reads += 1;
+      return runningAt;
+    };
+    job.active.set(index, Object.defineProperty(task, 'runningAt', { get: read }));
+  };
+  for (let index = 0; index < tasks; index++) addTask(index, millis(1000));
+  for (let failure = 0; failure < 500; failure++) job.noteError(m(failure), millis(2000), 0.5);
+  assert.ok(job.failsEverywhere);
+  assert.ok(reads <= 2 * tasks, `${reads} reads`);
+  // A later report looks again, and finds that a task has run for long enough.
+  job.noteError(m(0), millis(11_000), 0.5);
+  assert.equal(job.failsEverywhere, false);
+});
