Read the dependencies of a submission a few at a time

What callers could see: requests refused or late on all controllers after one submission that names thousands of jobs. Found by reading; shown with one registry and the model of the state service.

Cause: all named jobs were read at once, each with up to two requests, ahead of everything else that this controller reads, lease renewals included, and against a request rate that all controllers share.

Why it works: four are read at a time, and the first that decides the answer ends it.

Test: 'a submission that names thousands of unknown jobs does not use up the rate of the state service' fails on the sources before.

--- a/src/jobs/registry.ts
+++ b/src/jobs/registry.ts
@@ -84,6 +84,18 @@
   /** Whether a dependency is cancelled. */
   readonly cancelled: boolean;
 }
+/** Dependencies of one submission that are read at a time: all controllers share the state service's request rate. */
+const MAX_CONCURRENT_DEPENDENCY_READS = 4;
+
+/** Returns why a job can't be accepted with a dependency in this state, or null if it can. */
+function dependencyRefusal(id: JobId, state: JobState): JobRequestOutcome | null {
+  if (state.kind === 'unavailable') return retryLater(`awaits: the state of ${id} cannot be read`);
+  if (state.kind === 'absent') return { kind: 'never', reason: `awaits: ${id} was never accepted` };
+  if (state.kind === 'open' && state.record.spec.kind === 'service')
+    return { kind: 'never', reason: `awaits: ${id} is a service, which is never done` };
+  return null;
+}
+
 const NO_DEPENDENCIES: DependencyState = { unfinished: [], cancelled: false };
 
 /**
@@ -231,16 +243,17 @@
   private async checkDependencies(awaits: readonly JobId[]): Promise<DependencyState | JobRequestOutcome> {
     if (!this.hooks.supportsDependencies())
       return retryLater('not every controller supports jobs with dependencies yet');
-    const states = await Promise.all(awaits.map(async (id) => ({ id, state: await this.readDependency(id) })));
     const unfinished: JobId[] = [];
     let cancelled = false;
-    for (const { id, state } of states) {
-      if (state.kind === 'unavailable') return retryLater(`awaits: the state of ${id} cannot be read`);
-      if (state.kind === 'absent') return { kind: 'never', reason: `awaits: ${id} was never accepted` };
-      if (state.kind === 'open' && state.record.spec.kind === 'service')
-        return { kind: 'never', reason: `awaits: ${id} is a service, which is never done` };
-      if (state.kind === 'open') unfinished.push(id);
-      else cancelled ||= state.final.phase === 'cancelled';
+    for (let from = 0; from < awaits.length; from += MAX_CONCURRENT_DEPENDENCY_READS) {
+      const ids = awaits.slice(from, from + MAX_CONCURRENT_DEPENDENCY_READS);
+      const states = await Promise.all(ids.map(async (id) => ({ id, state: await this.readDependency(id) })));
+      for (const { id, state } of states) {
+        const refusal = dependencyRefusal(id, state);
+        if (refusal) return refusal;
+        if (state.kind === 'open') unfinished.push(id);
+        else cancelled ||= state.kind === 'ended' && state.final.phase === 'cancelled';
+      }
     }
     return { unfinished, cancelled };
   }
--- a/test/registry.test.ts
+++ b/test/registry.test.ts
@@ -267,6 +267,20 @@
   model.setOutage(false);
 });
 
+test('a submission that names thousands of unknown jobs does not use up the rate of the state service', async () => {
+  const { registry } = startNode();
+  const unknown = Array.from({ length: 4000 }, (_, i) => jobId(`j-${700_000 + i}`));
+  let requests = 0;
+  model.injectFault = () => {
+    requests += 1;
+    return null;
+  };
+  const outcome = await lab.runUntilSettled(registry.submit(spec({ id: 'j-45' }), unknown));
+  model.injectFault = () => null;
+  assert.deepEqual(outcome, { kind: 'never', reason: 'awaits: j-700000 was never accepted' });
+  assert.ok(requests <= 20, `${requests} requests`);
+});
+
 test('a job with a hundred dependencies fits the smaller size limit; a job that never fits is refused with the reason', async () => {
   const a = startNode({ valueKb: 32, txnOps: 16, next: { writeRps: 1000, valueKb: 2, txnOps: 5 } });
   const dependencies = Array.from({ length: 100 }, (_, i) => jobId(`j-${String(800_000 + i)}`));
