Split the leader's planner into capacity, demand, rents and plan

Only moves: the sorted lines of the sources before and after differ in imports, exports, module comments and one constant that stood twice. Types and lint clean; the tests of leasing and whatif pass.

--- a/src/leasing/leader.ts
+++ b/src/leasing/leader.ts
@@ -36,14 +36,9 @@
   type StateClient,
 } from '../state/index.js';
 import type { WorkerMessage } from '../workers/index.js';
-import {
-  splitIntoCalls,
-  machineKindKey,
-  ASSIGNMENT_POLICY,
-  planAssignments,
-  type UnassignedMachine,
-  type PlannedRent,
-} from './plan.js';
+import { machineKindKey, type PlannedRent, type UnassignedMachine } from './capacity.js';
+import { ASSIGNMENT_POLICY, planAssignments } from './plan.js';
+import { splitIntoCalls } from './rents.js';
 import { SilentMachines } from './silent-machines.js';
 
 /** What the leader needs from the rest of the node. */
--- a/src/leasing/routing.ts
+++ b/src/leasing/routing.ts
@@ -1,10 +1,11 @@
+/** Chooses the shard of a new or waiting job from the summaries of all shards. */
 import type { MachineType } from '../cloud/index.js';
 import type { JobSpec } from '../jobs/index.js';
 import type { ShardName } from '../kernel/index.js';
 import { allowsMachine, mayUseReserve } from '../placement/index.js';
 import type { ShardSummary } from '../peers/index.js';
+import { EPSILON } from './capacity.js';
 
-const EPSILON = 1e-6;
 /** An array of at most this many tasks is small and stays in the shard of the node that accepts it if it has room. */
 const MAX_SMALL_ARRAY_TASKS = 2;
 
