--- a/packages/region/test/pipelines.test.ts
+++ b/packages/region/test/pipelines.test.ts
@@ -55,12 +55,14 @@
 test('the day `chain`: after a rollout from production to this release the limits drop, and every pipeline continues', async () => {
   // Controllers notice the drop only when a write is refused, so the limits are low enough that some write is refused.
   const chain = shippedDay('chain');
-  const state = { ...chain.state, next: { write_rps: 8, value_kb: 2, txn_ops: 5 } };
+  const state = { ...chain.state, next: { write_rps: 6, value_kb: 2, txn_ops: 5 } };
   let done = 0;
   for (const seed of [chain.seed, 14]) {
     const day = await playKeepingRules({ ...chain, state, seed });
     done += doneOf(day, 'close');
     assert.equal(day.result.classes.find(({ name }) => name === 'close')?.open, 0, `seed ${seed}`);
+    const noticed = day.logs.filter(({ msg }) => msg === "the state service's lower limits are in force");
+    assert.equal(noticed.length, 3, `seed ${seed}`);
     assert.ok(day.logs.some(({ msg }) => msg === 'job cancelled with a job that it needs'));
     assert.equal(day.logs.filter(({ msg }) => msg === "a shard's machines are in pages now").length, 3);
     // No submission is refused once all controllers run this release; the last one is back at 64 s.
