Play upcoming jobs in any order, and bodies of nearly 64 KiB, in the tests of long turns

Rereading found guards of the counted dependencies that no test caught: the drawn graphs in any order now compare upcoming jobs too, with ends as done. Appending to a long chain is bounded, and the submission of unknown names is nearly as long as a body may be.

--- a/test/pipelines.test.ts
+++ b/test/pipelines.test.ts
@@ -199,6 +199,17 @@
   assert.ok(computations() - before <= stages * width + links, `${computations() - before} computations`);
 });
 
+test('a job appended to a long pipeline without deadlines leaves its earlier stages alone', () => {
+  const { graph, computations } = countingGraph();
+  const chain = Array.from({ length: 2000 }, (_, i) => jobId(`j-${i}`));
+  for (const [i, id] of chain.entries()) {
+    const before = computations();
+    if (i > 0) graph.add(id, { spec: spec({ id }), submittedAt: wallMillis(i), awaits: chain.slice(i - 1, i) });
+    assert.deepEqual(graph.inheritedOf(chain[0] ?? id), i > 0 ? { priority: Priority.normal, dueAt: null } : null);
+    assert.ok(computations() - before <= 4, `${computations() - before} computations for job ${i}`);
+  }
+});
+
 interface StagedJob extends DependentJob {
   readonly id: JobId;
   readonly stage: number;
@@ -232,7 +243,9 @@
       { minLength: 10, maxLength: 60 },
     ),
     skippedStages: fc.nat(3),
-    ends: fc.array(fc.record({ at: fc.nat(), cancelled: fc.boolean() }), { maxLength: 20 }),
+    ends: fc.array(fc.record({ at: fc.nat(), how: fc.constantFrom('cancelled', 'done', 'removed') }), {
+      maxLength: 30,
+    }),
   });
   fc.assert(
     fc.property(drawn, ({ jobs, skippedStages, ends }) => {
@@ -256,12 +269,17 @@
         assert.ok(computations() - before <= size, `${computations() - before} computations, ${size} jobs and links`);
         const expected = expectedInheritance(graph, all);
         for (const [i, id] of ids.entries()) assert.deepEqual(inherited[i], expected.get(id) ?? null, id);
+        const waits = (id: JobId): boolean => graph.has(id) && graph.pendingOf(id).length > 0;
+        const upcoming = ids.filter(
+          (id) => waits(id) && !graph.mustBeCancelled(id) && !graph.pendingOf(id).some((other) => waits(other)),
+        );
+        assert.deepEqual([...graph.upcomingJobs(Infinity)].map(({ id }) => id).sort(), upcoming.sort());
       };
       // Stored jobs are read in the order of their ids, in which dependents may come before their dependencies.
       for (const job of [...all].sort((a, b) => a.position - b.position)) change(() => graph.add(job.id, job));
-      for (const { at, cancelled } of ends) {
+      for (const { at, how } of ends) {
         const id = ids[at % ids.length] ?? jobId('j-none');
-        change(() => (cancelled ? graph.recordFinal(id, 'cancelled', 0) : graph.remove(id)));
+        change(() => (how === 'removed' ? graph.remove(id) : graph.recordFinal(id, how, 0)));
       }
     }),
     { seed: 62, numRuns: 150 },
--- a/test/registry.test.ts
+++ b/test/registry.test.ts
@@ -269,7 +269,8 @@
 
 test('a submission that names thousands of unknown jobs does not use up the rate of the state service', async () => {
   const { registry } = startNode();
-  const unknown = Array.from({ length: 4000 }, (_, i) => jobId(`j-${700_000 + i}`));
+  const unknown = Array.from({ length: 5800 }, (_, i) => jobId(`j-${700_000 + i}`));
+  assert.ok(JSON.stringify(unknown).length > 62 * 1024, 'nearly the longest body that is taken');
   let requests = 0;
   model.injectFault = () => {
     requests += 1;
