Let a job's failures go with it to the next shard

What callers saw: a job that fails on every machine moved from shard to shard and was nowhere found to be at fault.

Cause: only the holder of its shard knew on which machines a job had failed, and it takes three. A job at fault was also given another task before the last one had failed, and that one of its tasks works was noticed only at a failure.

Change: the record of a job that is moved names up to three machines on which it has failed, until a task of it has worked. Earlier releases keep the field. A failure on a machine that it is known to have failed on counts twice if others have worked there since. A job at fault has one task at a time.

Why it works: three machines, or one where others work, are enough evidence in any division into shards.

The region's test failed before ("three shards": 3 tasks at a time, now 1).

--- a/packages/region/test/small-fleets.test.ts
+++ b/packages/region/test/small-fleets.test.ts
@@ -39,6 +39,39 @@
     assert.deepEqual(await play(drawMistakesAndHandovers(seed)), [], `seed ${seed}`);
 });
 
+/** Time in which the controllers have learned from the reports that a task has failed. */
+const REPORTED_WITHIN_MS = 5000;
+
+/** Largest number of tasks of a job that were started once it had failed on three machines and ran at a time. */
+async function mostAtATimeAfterThreeMachines(machines: readonly number[], seed: number): Promise<number> {
+  const failedOn = new Set<string>();
+  const running = new Set<string>();
+  let knownFromMs = Infinity;
+  let most = 0;
+  const event = (line: string): void => {
+    const [atMs, what = '', task = '', attempt = '', machine = '', cause = ''] = line.trim().split(' ');
+    if (!task.startsWith('j-mistake/')) return;
+    if (what === 'off') running.delete(attempt);
+    if (what === 'off' && cause === 'error') failedOn.add(machine);
+    if (failedOn.size >= 3) knownFromMs = Math.min(knownFromMs, Number(atMs) + REPORTED_WITHIN_MS);
+    if (what !== 'on' || Number(atMs) < knownFromMs) return;
+    running.add(attempt);
+    most = Math.max(most, running.size);
+  };
+  const sound = Array.from({ length: 30 }, (_, n) => ({ ref: `j-sound-${n}`, atS: 32 + n * 8, tasks: 2, runS: 6 }));
+  const mistake = { ref: 'j-mistake', atS: 30, mistaken: true, tasks: 40 };
+  const jobs = [...servicesOnEachMachine(machines), mistake, ...sound];
+  const region = new Region({ ...smallFleetDay({ seed, durationS: 300, machines, jobs }), event });
+  await region.play();
+  assert.deepEqual([soundJobsLeft(region), region.close().breaches], [[], []]);
+  assert.ok(failedOn.size >= 3);
+  return most;
+}
+
+test('a job that fails on machines of three shards is found to be at fault as on three machines of one', async () => {
+  for (const seed of [1, 2, 3]) assert.equal(await mostAtATimeAfterThreeMachines([0, 1, 2], seed), 1, `seed ${seed}`);
+});
+
 test('a bad machine that stays in a busy fleet for an hour costs one task at each trial', async () => {
   const machines = [0, 0];
   const arrays = Array.from({ length: 215 }, (_, n) => ({ ref: `j-${n}`, atS: 30 + n * 16, tasks: 6, runS: 8 }));
--- a/src/holder/held-machine.ts
+++ b/src/holder/held-machine.ts
@@ -114,7 +114,7 @@
     this.noteStableTasks(now);
     const { state } = this.assess(now);
     const failure = { index, ranMs, machine: this.id };
-    run.noteFailure(failure, now, jitter, (time) => this.health.hasWorkedSince(time));
+    run.noteFailure(failure, now, jitter, this.health.hasWorkedSinceFailureOf(run.id));
     this.health.recordFailure(run, failure, now, state === 'probation');
     return state !== 'suspended' && this.assess(now).state === 'suspended';
   }
--- a/src/holder/job-failures.ts
+++ b/src/holder/job-failures.ts
@@ -1,4 +1,4 @@
-import type { MachineId, Millis } from '../kernel/index.js';
+import type { MachineId } from '../kernel/index.js';
 import { FailureHistory } from './failure-history.js';
 
 /** A task that exited with an error. */
@@ -26,15 +26,20 @@
 
 /** The failures of one job's tasks. */
 export class JobFailures {
-  private readonly ofJob = new FailureHistory();
+  private readonly ofJob: FailureHistory;
   private readonly byTask = new Map<number, FailureHistory>();
   private longestFailedMs = 0;
 
-  record(failure: TaskFailure, now: Millis, machineHasWorkedSince: (time: Millis) => boolean): void {
-    const { index, machine, ranMs } = failure;
+  /** `elsewhere`: machines on which the job failed before it came to this shard. */
+  constructor(elsewhere: readonly MachineId[]) {
+    this.ofJob = new FailureHistory(elsewhere);
+  }
+
+  /** Records a failure. `machineHasWorkedSince`: tasks have run well on its machine since the job last failed there. */
+  record({ index, machine, ranMs }: TaskFailure, machineHasWorkedSince: boolean): void {
     this.longestFailedMs = Math.max(this.longestFailedMs, ranMs);
-    this.ofJob.record(machine, now, machineHasWorkedSince);
-    this.historyOfTask(index).record(machine, now, machineHasWorkedSince);
+    this.ofJob.record(machine, machineHasWorkedSince);
+    this.historyOfTask(index).record(machine, machineHasWorkedSince);
   }
 
   private historyOfTask(index: number): FailureHistory {
--- a/src/holder/job-run.ts
+++ b/src/holder/job-run.ts
@@ -56,6 +56,8 @@
 const MAX_BACKOFF_MS = 60_000;
 /** Number of recent run times from which the median is computed. */
 const MAX_RECORDED_RUNS = 100;
+/** Machines on which a job has failed that its record names when it moves to another shard. */
+const MAX_REPORTED_MACHINES = 3;
 const NO_MACHINES: ReadonlySet<MachineId> = new Set();
 const NO_PIPELINES = { inherited: (): null => null, readyAt: (): null => null };
 
@@ -76,7 +78,7 @@
   /** When a task was first seen running. */
   startedAt: Millis | null = null;
   /** The failures of its tasks. */
-  readonly failures = new JobFailures();
+  readonly failures: JobFailures;
   /** No task is started before this time. */
   notBefore: Millis;
   /** Number of failed retries in a row since the job was first considered at fault. */
@@ -123,6 +125,7 @@
     readonly seenAt: Millis,
     private readonly pipelines: Pick<Pipelines, 'inherited' | 'readyAt'> = NO_PIPELINES,
   ) {
+    this.failures = new JobFailures(record.failedOn ?? []);
     this.done = record.done.copy();
     this.stored = record.done;
     this.lastStoredAt = seenAt;
@@ -211,6 +214,11 @@
     return runningAt !== null && now - runningAt >= this.failures.stableRunMs;
   }
 
+  /** The machines that another shard has to know about, the latest last; none once a task has worked. */
+  get machinesToReport(): readonly MachineId[] {
+    return this.hasWorked ? [] : this.failures.machines.slice(-MAX_REPORTED_MACHINES);
+  }
+
   /** What the failure of a task is evidence of, as far as is known now. */
   causeOf({ index, machine }: TaskFailure, now: Millis): FailureCause {
     if (this.done.has(index)) return 'machine';
@@ -226,7 +234,7 @@
   }
 
   /** Does the same for all active tasks, once for all failures that one report lists. */
-  private noteAllRunning(now: Millis): void {
+  noteAllRunning(now: Millis): void {
     if (this.hasWorked || this.allNotedAt === now) return;
     this.allNotedAt = now;
     for (const task of this.active.values()) this.noteRunning(task, now);
@@ -234,15 +242,10 @@
 
   /**
    * Records a failed task. All failures before the next retry count as one; `jitter` is between 0 and 1.
-   * `machineHasWorkedSince` says whether tasks have run well that were started on the machine after a time.
+   * `machineHasWorkedSince`: tasks have run well on its machine since the job last failed there.
    */
-  noteFailure(
-    failure: TaskFailure,
-    now: Millis,
-    jitter: number,
-    machineHasWorkedSince: (time: Millis) => boolean = () => false,
-  ): void {
-    this.failures.record(failure, now, machineHasWorkedSince);
+  noteFailure(failure: TaskFailure, now: Millis, jitter: number, machineHasWorkedSince = false): void {
+    this.failures.record(failure, machineHasWorkedSince);
     this.avoidMachine(failure.machine, now);
     this.noteAllRunning(now);
     if (!this.failsEverywhere || now < this.notBefore) return;
--- a/src/holder/machine-health.ts
+++ b/src/holder/machine-health.ts
@@ -75,6 +75,8 @@
   private failures: RecordedFailure[] = [];
   /** When the last tasks were started that have run well. */
   private goodStarts: Millis[] = [];
+  /** Whether failures have been forgotten because tasks ran well after them. */
+  private hasRecovered = false;
   /** When the previous holder of the shard considered the machine faulty. */
   private inheritedAt: Millis | null = null;
 
@@ -108,11 +110,13 @@
     if (lastFailureAt === null || this.goodStartsAfter(lastFailureAt) < GOOD_STARTS_TO_RECOVER) return;
     this.failures = [];
     this.inheritedAt = null;
+    this.hasRecovered = true;
   }
 
-  /** Whether a task that was started after this time has run well. */
-  hasWorkedSince(time: Millis): boolean {
-    return this.goodStartsAfter(time) > 0;
+  /** Whether a task that was started after the last failure of the job here has run well. */
+  hasWorkedSinceFailureOf(job: JobId): boolean {
+    const last = this.failures.filter((recorded) => recorded.job.id === job).at(-1);
+    return last ? this.goodStartsAfter(last.at) > 0 : this.hasRecovered;
   }
 
   private goodStartsAfter(time: Millis): number {
--- a/src/holder/moves.ts
+++ b/src/holder/moves.ts
@@ -54,7 +54,8 @@
     run.moving = true;
     const key = jobKey(run.id);
     const done = run.done.copy();
-    const value = { ...(encodeJobRecord({ ...run.record, done, shard: to }) as object), born: run.createdAtRevision };
+    const record = { ...run.record, done, shard: to, failedOn: run.machinesToReport };
+    const value = { ...(encodeJobRecord(record) as object), born: run.createdAtRevision };
     const ownEntry = this.held.deps.mirror.get(shardKey(this.held.shard));
     if (!ownEntry) {
       run.moving = false;
--- a/src/holder/task-placer.ts
+++ b/src/holder/task-placer.ts
@@ -174,6 +174,9 @@
       // claimant starts the job at once, while this node might still command the shard's machines.
       if (!this.held.deps.leaseValid() && run.createdAtRevision > this.held.deps.mirror.seenUpTo) continue;
       if (run.spec.kind === 'gang' && run.active.size > 0) continue;
+      if (run.failsEverywhere) run.noteAllRunning(now);
+      // The next task is tried only when the last has failed, or has shown that the job works.
+      if (run.failsEverywhere && run.active.size > 0) continue;
       const most = run.failsEverywhere ? 1 : MAX_READY_TASKS;
       const ready = run.ready(run.spec.kind === 'gang' ? run.spec.tasks : most);
       if (ready.length === 0) {
--- a/src/jobs/model.ts
+++ b/src/jobs/model.ts
@@ -3,7 +3,9 @@
   BitSet,
   isObject,
   jobId,
+  machineId,
   type JobId,
+  type MachineId,
   type ShardName,
   shardName,
   type WallMillis,
@@ -68,6 +70,8 @@
   readonly done: BitSet;
   /** Dependencies: jobs that must be done before any task of this one starts, less those done when it was accepted. */
   readonly awaits: readonly JobId[];
+  /** Machines on which it failed in other shards; absent once a task of it has worked. */
+  readonly failedOn?: readonly MachineId[];
   /** Fields that a later release has added to the record; they are kept when the record is rewritten. */
   readonly rest?: RecordFields;
 }
@@ -79,7 +83,16 @@
  * `spec` as no job at all. A job without dependencies stays at version 1.
  */
 export const JOB_FORMAT = 2;
-const KNOWN_FIELDS: ReadonlySet<string> = new Set(['spec', 'job', 'awaits', 'shard', 'submittedAt', 'done', 'born']);
+const KNOWN_FIELDS: ReadonlySet<string> = new Set([
+  'spec',
+  'job',
+  'awaits',
+  'shard',
+  'submittedAt',
+  'done',
+  'born',
+  'failedOn',
+]);
 
 /** Whether a job record is of a newer version than this program reads. Its holder may run it, so it is left alone. */
 export const isNewerJobFormat = (value: unknown): boolean => isNewerFormat(value, JOB_FORMAT);
@@ -115,6 +128,9 @@
 const decodeDependencies = (value: unknown): JobId[] =>
   typeof value === 'string' && value !== '' ? value.split(' ').map((suffix) => jobId(`${JOB_ID_PREFIX}${suffix}`)) : [];
 
+const decodeMachines = (value: unknown): MachineId[] =>
+  typeof value === 'string' && value !== '' ? value.split(' ').map((id) => machineId(id)) : [];
+
 /** Decodes only the dependencies of a stored job; empty if the record has a newer version. */
 export const dependenciesOf = (value: unknown): JobId[] =>
   isObject(value) && !isNewerJobFormat(value) ? decodeDependencies(value['awaits']) : [];
@@ -129,6 +145,7 @@
     shard: record.shard,
     submittedAt: record.submittedAt,
     done: record.done.encode(),
+    ...(record.failedOn && record.failedOn.length > 0 ? { failedOn: record.failedOn.join(' ') } : {}),
   };
 }
 
@@ -160,6 +177,7 @@
     submittedAt: wallMillis(submittedAt),
     done: BitSet.decode(spec.tasks, done),
     awaits: decodeDependencies(value['awaits']),
+    failedOn: decodeMachines(value['failedOn']),
     rest: unknownFields(value, KNOWN_FIELDS),
   };
 }
--- a/src/jobs/registry.ts
+++ b/src/jobs/registry.ts
@@ -71,9 +71,10 @@
 /** Maximum number of ended jobs that the registry remembers, in each of its two caches. */
 const MAX_CACHED_FINALS = 20_000;
 /**
- * Room left for the growth of a record after acceptance: `born` field, longer shard name, progress of a mid-sized job.
+ * Room left for the growth of a record after acceptance: `born` field, longer shard name, progress of a mid-sized job,
+ * machines on which it failed.
  */
-const RECORD_GROWTH_BYTES = 300;
+const RECORD_GROWTH_BYTES = 360;
 /** Lists of machine types up to this length are stored unfiltered. */
 const MAX_UNFILTERED_TYPES = 4;
 
--- a/test/machine-health.test.ts
+++ b/test/machine-health.test.ts
@@ -3,6 +3,7 @@
 import { spec } from './standins/jobs.js';
 import { machineView, pendingJob } from './standins/placement.js';
 import { JobRun, MachineHealth, type JobOutcome, type MachineState } from '../src/holder/index.js';
+import { decodeJobRecord, encodeJobRecord } from '../src/jobs/index.js';
 import { BitSet, machineId, millis, revision, shardName, wallMillis, type JobId } from '../src/kernel/index.js';
 import { planPlacement, type Plan } from '../src/placement/index.js';
 
@@ -38,7 +39,7 @@
     for (const index of tasks) {
       const failure = { index, machine: machineId(`m-${n}`), ranMs };
       const { state } = health.assess(now, []);
-      run.noteFailure(failure, now, 0.5, (time) => health.hasWorkedSince(time));
+      run.noteFailure(failure, now, 0.5, health.hasWorkedSinceFailureOf(run.id));
       health.recordFailure(run, failure, now, state === 'probation');
     }
   }
@@ -126,6 +127,21 @@
   assert.equal(fleet.state(1, 60), 'healthy');
 });
 
+test('a job that was moved is known to have failed elsewhere until a task of it has worked', () => {
+  const first = newRun({ id: 'j-1', tasks: 3 });
+  const fleet = new Fleet();
+  for (const n of [1, 2]) fleet.fail(first, n, n);
+  const stored = encodeJobRecord({ ...first.record, shard: shardName('t'), failedOn: first.machinesToReport });
+  const moved = decodeJobRecord(JSON.parse(JSON.stringify(stored)));
+  assert.ok(moved);
+  const second = new JobRun(moved, revision(2), revision(1), millis(0));
+  assert.equal(second.failsEverywhere, false);
+  fleet.fail(second, 3, 5);
+  assert.ok(second.failsEverywhere);
+  second.markDone(0);
+  assert.deepEqual([second.failsEverywhere, second.machinesToReport], [false, []]);
+});
+
 test('a job whose tasks fail after half a minute is recognized, although each has run for a while', () => {
   const fleet = new Fleet();
   const bad = newRun({ id: 'j-bad', kind: 'service', tasks: 3 });
