Let the verdict that a machine is slow end

What callers saw: machines ran their tasks four times slower for 8.5 s.

Cause: a moving average of run times takes a machine out, so that no task can run there and lower it again. The average had no end, could rest on one job whose tasks differ, and got the machine given back.

Change: run times count for 180 s. 15 s after the last one, or 70 s if tasks of several jobs were slow, the machine is on probation like one whose tasks failed. Only tasks of several jobs get it given back. Failures that one report lists look at the machine's tasks once.

Why it works: the verdict now lets in the evidence that can end it, and ends by itself where none comes.

--- a/src/holder/exits.ts
+++ b/src/holder/exits.ts
@@ -35,7 +35,8 @@
     if (active?.runningAt != null && !active.adopted && spec.kind === 'array') {
       const ranS = (now - active.runningAt) / 1000;
       const medianRunS = run.medianRunS;
-      if (medianRunS !== null && medianRunS > 1 && run.finishedRunsS.length >= 3) machine.noteRun(ranS / medianRunS);
+      if (medianRunS !== null && medianRunS > 1 && run.finishedRunsS.length >= 3)
+        machine.noteRun(run.id, ranS / medianRunS, now);
       run.noteRun(ranS);
     }
     held.requestReplan();
--- a/src/holder/held-machine.ts
+++ b/src/holder/held-machine.ts
@@ -6,13 +6,7 @@
 import type { ActiveTask, JobRun } from './job-run.js';
 import type { JobOutcome } from './job-outcomes.js';
 import type { TaskFailure } from './job-failures.js';
-import {
-  HEALTHY,
-  MachineHealth,
-  type MachineAssessment,
-  type MachineState,
-  type UnsettledTask,
-} from './machine-health.js';
+import { MachineHealth, type MachineAssessment, type MachineState, type UnsettledTask } from './machine-health.js';
 
 /** What a machine needs from the holder of its shard. */
 export interface HeldMachineHooks extends CommandSenderHooks {
@@ -41,10 +35,8 @@
   private readonly health: MachineHealth;
   /** State of the machine that was last logged. */
   private loggedState: MachineState = 'healthy';
-  /** Moving average of task run times relative to the median of their job. */
-  private slowness = 1;
-  /** Number of run times in `slowness`. */
-  private runs = 0;
+  /** When it was last looked at which tasks here have run well. */
+  private stableNotedAt: Millis | null = null;
   /** When the cloud provider reclaims the machine, if it has given notice. */
   noticeUntil: Millis | null = null;
   /** No tasks are placed here before this time, after the worker refused one as full or busy. */
@@ -133,6 +125,8 @@
 
   /** Records which of the tasks here have run well. */
   private noteStableTasks(now: Millis): void {
+    if (this.stableNotedAt === now) return;
+    this.stableNotedAt = now;
     for (const { run, task } of this.active.values()) if (run.runsStably(task, now)) this.noteWorked(task, now);
   }
 
@@ -145,18 +139,10 @@
     }));
   }
 
-  private assessFailures(now: Millis): MachineAssessment {
-    if (!this.health.hasFailures) return HEALTHY;
-    this.noteStableTasks(now);
-    return this.health.assess(now, this.unsettledTasks());
-  }
-
   /** Assesses whether the machine may get new tasks. */
   assess(now: Millis): MachineAssessment {
-    const assessment = this.assessFailures(now);
-    if (this.isSlow) return { state: 'suspended', faulty: true, suspicion: assessment.suspicion + 1, startLimit: 0 };
-    const isSuspectedSlow = this.runs >= 3 && this.slowness > 1.5;
-    return isSuspectedSlow ? { ...assessment, suspicion: assessment.suspicion + 1 } : assessment;
+    if (this.health.isSuspect(now)) this.noteStableTasks(now);
+    return this.health.assess(now, () => this.unsettledTasks());
   }
 
   /** The state to log if it differs from the one that was logged last; null if there is nothing to log. */
@@ -168,13 +154,7 @@
   }
 
   /** Records a completed task's run time relative to the median of its job. */
-  noteRun(ratio: number): void {
-    this.runs += 1;
-    this.slowness += (ratio - this.slowness) / Math.min(this.runs + 1, 5);
-  }
-
-  /** Whether tasks take more than twice the usual time here. */
-  private get isSlow(): boolean {
-    return this.runs >= 4 && this.slowness > 2;
+  noteRun(job: JobId, ratio: number, now: Millis): void {
+    this.health.recordRun(job, ratio, now);
   }
 }
--- a/src/holder/machine-health.ts
+++ b/src/holder/machine-health.ts
@@ -1,6 +1,7 @@
 import { millis, type JobId, type Millis } from '../kernel/index.js';
 import type { FailureCause, TaskFailure } from './job-failures.js';
 import type { JobOutcome } from './job-outcomes.js';
+import { MachineSpeed } from './machine-speed.js';
 
 /** A job whose task failed on the machine. */
 export interface FailedJob {
@@ -24,7 +25,7 @@
 /** What the evidence about a machine amounts to at one time. */
 export interface MachineAssessment {
   readonly state: MachineState;
-  /** It has failed tasks that have worked elsewhere since: it is given back once it is empty. */
+  /** It fails tasks that work elsewhere, or is slow for several jobs: it is given back once it is empty. */
   readonly faulty: boolean;
   /** Number of recent reasons to prefer other machines. */
   readonly suspicion: number;
@@ -56,7 +57,7 @@
 const RECENT_FAILURE_MS = 180_000;
 /** Older failures are forgotten, also those of a machine that nothing was tried on since. */
 const FAILURE_MEMORY_MS = 1_800_000;
-/** Pause after a failure that may be the job's fault; doubled by each failure on probation. */
+/** Pause after evidence that may be the job's fault; doubled by each failure on probation. */
 const UNCERTAIN_PAUSE_MS = 15_000;
 /** Longest pause. A job may wait 90 s for a machine that works again. */
 const MAX_PAUSE_MS = 70_000;
@@ -68,8 +69,8 @@
 const UNSETTLED_START_MS = 30_000;
 
 /**
- * Decides whether a machine gets new tasks, from the failures there. Nothing but the failures is kept: what each of them
- * is evidence of is asked of its job at each assessment, so that an assessment ends with its evidence.
+ * Decides whether a machine gets new tasks, from the failures and run times there. Nothing but these is kept: what a
+ * failure is evidence of is asked of its job at each assessment, so that an assessment ends with its evidence.
  */
 export class MachineHealth {
   private failures: RecordedFailure[] = [];
@@ -77,17 +78,23 @@
   private goodStarts: Millis[] = [];
   /** Whether failures have been forgotten because tasks ran well after them. */
   private hasRecovered = false;
+  private readonly speed = new MachineSpeed();
   /** When the previous holder of the shard considered the machine faulty. */
   private inheritedAt: Millis | null = null;
 
   /** `outcomeOf` says what has become of a job that has left the shard. */
   constructor(private readonly outcomeOf: (job: JobId) => JobOutcome) {}
 
-  /** Whether anything is known against the machine. */
+  /** Whether tasks have failed here, or are said to have, that may be held against the machine. */
   get hasFailures(): boolean {
     return this.failures.length > 0 || this.inheritedAt !== null;
   }
 
+  /** Whether anything may be held against the machine. */
+  isSuspect(now: Millis): boolean {
+    return this.hasFailures || this.speed.state(now) !== 'usual';
+  }
+
   /** Records that a task failed here. */
   recordFailure(job: FailedJob, failure: TaskFailure, now: Millis, onProbation: boolean): void {
     this.failures.push({ job, failure, at: now, onProbation, proven: false });
@@ -142,9 +149,30 @@
     return times.length === 0 ? null : millis(Math.max(...times));
   }
 
-  /** Assesses the machine. */
-  assess(now: Millis, unsettled: readonly UnsettledTask[]): MachineAssessment {
-    if (!this.hasFailures) return HEALTHY;
+  /** Records how long a completed task ran relative to the median of its job. */
+  recordRun(job: JobId, ratio: number, now: Millis): void {
+    this.speed.record(job, ratio, now);
+  }
+
+  /** Assesses the machine. `unsettled` lists the tasks there that have yet to show whether they run well. */
+  assess(now: Millis, unsettled: () => readonly UnsettledTask[]): MachineAssessment {
+    const byFailures = this.hasFailures ? this.assessFailures(now, unsettled) : HEALTHY;
+    const speed = this.speed.state(now);
+    if (speed === 'usual') return byFailures;
+    const suspected = { ...byFailures, suspicion: byFailures.suspicion + 1 };
+    const measuredAt = this.speed.lastMeasuredAt;
+    if (speed === 'suspected' || measuredAt === null) return suspected;
+    const pauseMs = this.speed.isOfSeveralJobs ? MAX_PAUSE_MS : UNCERTAIN_PAUSE_MS;
+    const trial = this.trial(measuredAt, pauseMs, now, unsettled);
+    return {
+      state: worseState(trial.state, byFailures.state),
+      faulty: byFailures.faulty || (this.speed.isOfSeveralJobs && trial.state === 'suspended'),
+      suspicion: suspected.suspicion,
+      startLimit: Math.min(trial.startLimit, byFailures.startLimit),
+    };
+  }
+
+  private assessFailures(now: Millis, unsettled: () => readonly UnsettledTask[]): MachineAssessment {
     if (this.inheritedAt !== null && now - this.inheritedAt >= FAILURE_MEMORY_MS) this.inheritedAt = null;
     const failures = this.failuresAgainstMachine(now);
     const lastFailureAt = this.lastFailureAt(failures);
@@ -153,12 +181,21 @@
     const isInherited = this.inheritedAt !== null && now - this.inheritedAt < MAX_PAUSE_MS;
     const faulty = isInherited || speakAgainstMachine(recent.filter(({ cause }) => cause === 'machine'));
     const suspicion = recent.length + (isInherited ? 1 : 0);
-    if (this.inheritedAt === null && !speakAgainstMachine(failures))
-      return { state: 'healthy', faulty, suspicion, startLimit: Infinity };
-    if (now < lastFailureAt + this.pauseMs(failures)) return { state: 'suspended', faulty, suspicion, startLimit: 0 };
-    const allowed = 1 + STARTS_PER_GOOD_START * this.goodStartsAfter(lastFailureAt);
-    const startLimit = Math.max(0, allowed - countStarts(unsettled, lastFailureAt, now));
-    return { state: 'probation', faulty, suspicion, startLimit };
+    if (this.inheritedAt === null && !speakAgainstMachine(failures)) return { ...HEALTHY, faulty, suspicion };
+    return { ...this.trial(lastFailureAt, this.pauseMs(failures), now, unsettled), faulty, suspicion };
+  }
+
+  /** The pause after the last evidence against the machine, and then the tasks that may be tried there. */
+  private trial(
+    lastEvidenceAt: Millis,
+    pauseMs: number,
+    now: Millis,
+    unsettled: () => readonly UnsettledTask[],
+  ): Pick<MachineAssessment, 'state' | 'startLimit'> {
+    if (now < lastEvidenceAt + pauseMs) return { state: 'suspended', startLimit: 0 };
+    const allowed = 1 + STARTS_PER_GOOD_START * this.goodStartsAfter(lastEvidenceAt);
+    const startLimit = Math.max(0, allowed - countStarts(unsettled(), lastEvidenceAt, now));
+    return { state: 'probation', startLimit };
   }
 
   /** How long the machine is suspended after the last failure. */
@@ -169,6 +206,9 @@
   }
 }
 
+const STATES: readonly MachineState[] = ['healthy', 'probation', 'suspended'];
+const worseState = (a: MachineState, b: MachineState): MachineState => (STATES.indexOf(a) > STATES.indexOf(b) ? a : b);
+
 /** What a recorded failure is evidence of now. Once a task has worked elsewhere, that can't change any more. */
 function causeNow(recorded: RecordedFailure, outcome: JobOutcome, now: Millis): FailureCause {
   recorded.proven ||= outcome === 'done';
