Count the wait for a trial from when a job could begin, not from its last move

Cause: such a job is tried on a machine on probation once it has found no room for 15 s. A move to the shard of that machine began the 15 s anew, and as the job was not tried there, it moved on when another machine was free to try.

Change: the time since a job could begin counts as well, and a job that may not be tried yet doesn't move for a trial.

Tests: a service that has waited elsewhere is tried (machine-health), and moves for a trial only if it may be tried (leasing); neither can be said to the sources before.

--- a/packages/region/test/small-fleets.test.ts
+++ b/packages/region/test/small-fleets.test.ts
@@ -4,6 +4,7 @@
 import {
   drawMistakes,
   drawMistakesAndHandovers,
+  drawTransientFaults,
   servicesOnEachMachine,
   smallFleetDay,
   soundJobsLeft,
@@ -39,6 +40,11 @@
     assert.deepEqual(await play(drawMistakesAndHandovers(seed)), [], `seed ${seed}`);
 });
 
+test('machines that were slow or failed tasks for some seconds leave no job waiting afterwards', async () => {
+  for (const seed of [1, 2, 3, 41, 48, 63, 70, 134])
+    assert.deepEqual(await play(drawTransientFaults(seed)), [], `seed ${seed}`);
+});
+
 /** Time in which the controllers have learned from the reports that a task has failed. */
 const REPORTED_WITHIN_MS = 5000;
 
--- a/src/holder/deps.ts
+++ b/src/holder/deps.ts
@@ -71,8 +71,11 @@
   recordWorkerContact(): void;
   /** Numbers of running and done tasks of a job in any shard, as far as this node knows. */
   progressOf(id: JobId): { readonly running: number; readonly done: number };
-  /** Finds another shard that has capacity for `count` tasks of this job now; null when there is none. */
-  findShardWithCapacity(from: ShardName, spec: JobSpec, count: number): ShardName | null;
+  /**
+   * Finds another shard that has capacity for `count` tasks of this job now, or, if `mayTry`, a machine on probation that
+   * the job may be tried on; null when there is none.
+   */
+  findShardWithCapacity(from: ShardName, spec: JobSpec, count: number, mayTry: boolean): ShardName | null;
 }
 
 /** Dependencies between jobs, as the holder needs them. */
--- a/src/holder/moves.ts
+++ b/src/holder/moves.ts
@@ -43,13 +43,13 @@
     this.lastJobMoveAt = millis(held.since - MOVE_INTERVAL_MS);
   }
 
-  /** Moves a job to a shard where it can start. Only a job without tasks that may be on a machine here can move. */
-  moveJob(run: JobRun, count: number, now: Millis): void {
+  /** Moves a job to a shard where it can start, or be tried if `mayTry`. Only a job without tasks that may be on a machine here can move. */
+  moveJob(run: JobRun, count: number, now: Millis, mayTry: boolean): void {
     if (run.active.size > 0 || run.storeInProgress || run.moving || this.held.unfencedMachines.size > 0) return;
     if (this.held.taskIndex.hasTasksOf(run.id)) return;
     // The search counts as a move as well: it checks every machine of the other blocks.
     this.lastJobMoveAt = now;
-    const to = this.held.deps.findShardWithCapacity(this.held.shard, run.spec, count);
+    const to = this.held.deps.findShardWithCapacity(this.held.shard, run.spec, count, mayTry);
     if (to === null || to === this.held.shard) return;
     run.moving = true;
     const key = jobKey(run.id);
@@ -95,8 +95,8 @@
   }
 
   /** Moves a job unless the last move was less than `MOVE_INTERVAL_MS` ago. */
-  moveJobIfDue(run: JobRun, now: Millis, count = 1): void {
-    if (now - this.lastJobMoveAt >= MOVE_INTERVAL_MS) this.moveJob(run, count, now);
+  moveJobIfDue(run: JobRun, now: Millis, count = 1, mayTry = true): void {
+    if (now - this.lastJobMoveAt >= MOVE_INTERVAL_MS) this.moveJob(run, count, now, mayTry);
   }
 
   /**
--- a/src/holder/task-placer.ts
+++ b/src/holder/task-placer.ts
@@ -14,6 +14,7 @@
 import {
   planPlacement,
   machineFilterFor,
+  mayTryProbation,
   slackOf,
   type MachineView,
   type PendingJob,
@@ -200,7 +201,7 @@
     }
     this.shareBound = [];
     if (pending.length === 0) {
-      this.updateDemandAndMoveJobs([], now);
+      this.updateDemandAndMoveJobs([], new Set(), now);
       return;
     }
     const views: MachineView[] = [];
@@ -245,7 +246,8 @@
     }
     this.shareBound = plan.shareBound;
     if (plan.shareBound.length > 0) this.held.deps.quotas.reportWaitingWork();
-    this.updateDemandAndMoveJobs(plan.unplaced, now);
+    const mayTry = new Set(pending.filter(mayTryProbation).map(({ spec }) => spec.id));
+    this.updateDemandAndMoveJobs(plan.unplaced, mayTry, now);
   }
 
   /** Records a summary of the plan in the trail, at most every `PLAN_EVENT_INTERVAL_MS`. */
@@ -286,6 +288,7 @@
   /** Updates the demand from the tasks that found no capacity, and moves waiting jobs to other shards. */
   private updateDemandAndMoveJobs(
     unplaced: readonly { readonly job: JobId; readonly count: number }[],
+    mayTry: ReadonlySet<JobId>,
     now: Millis,
   ): void {
     let moveAttempts = 0;
@@ -324,7 +327,7 @@
       if (run.lastMoveAttemptAt !== null && now - run.lastMoveAttemptAt < JOB_MOVE_RETRY_MS) continue;
       run.lastMoveAttemptAt = now;
       moveAttempts += 1;
-      this.moves.moveJobIfDue(run, now, count);
+      this.moves.moveJobIfDue(run, now, count, mayTry.has(job));
     }
   }
 }
--- a/src/leasing/routing.ts
+++ b/src/leasing/routing.ts
@@ -162,6 +162,8 @@
   here: ShardSummary | undefined,
   others: readonly ShardSummary[],
   types: ReadonlyMap<string, MachineType>,
+  /** Whether the job may be tried on machines on probation. */
+  mayTry = true,
 ): ShardName | null {
   const fits = others.map((summary) => fitInShard(spec, summary, types));
   const mostSlots = fits.filter((fit) => fit.slots >= Math.min(count, spec.tasks)).sort((a, b) => b.slots - a.slots)[0];
@@ -169,7 +171,7 @@
   if (!here) return null;
   const { queueS: ownQueueS, machines, slots, trialSlots } = fitInShard(spec, here, types);
   const trialTasks = spec.kind === 'gang' ? spec.tasks : 1;
-  if (slots < trialTasks && trialSlots < trialTasks) {
+  if (mayTry && slots < trialTasks && trialSlots < trialTasks) {
     const mostTrials = fits
       .filter((fit) => fit.trialSlots >= trialTasks)
       .sort((a, b) => b.trialSlots - a.trialSlots)[0];
--- a/src/placement/fit.ts
+++ b/src/placement/fit.ts
@@ -77,12 +77,15 @@
 /** Whether the machine gets only a few tasks at a time, until these show whether it works. */
 export const isOnProbation = ({ startLimit }: Pick<MachineView, 'startLimit'>): boolean => startLimit !== Infinity;
 
-/** A job that finds no room for this long is tried on machines on probation, whatever it is. */
+/** A job that finds no room, or has not begun, for this long is tried on machines on probation, whatever it is. */
 const TRY_ANYWHERE_AFTER_S = 15;
 
 /** Whether tasks of the job may be tried on machines on probation: work that matters little, or that finds no room. */
-export const mayTryProbation = ({ spec, suspect, unplacedS = 0 }: PendingJob): boolean =>
-  (!suspect && spec.kind === 'array' && spec.priority <= Priority.normal) || unplacedS >= TRY_ANYWHERE_AFTER_S;
+export const mayTryProbation = (job: Pick<PendingJob, 'spec' | 'suspect' | 'unplacedS' | 'waitedS'>): boolean => {
+  const { spec, suspect, unplacedS = 0, waitedS = 0 } = job;
+  if (Math.max(unplacedS, waitedS) >= TRY_ANYWHERE_AFTER_S) return true;
+  return !suspect && spec.kind === 'array' && spec.priority <= Priority.normal;
+};
 
 /** How many of a job's tasks fit on these machines. */
 export function countSlots(machines: readonly PlanMachine[], spec: JobSpec): number {
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -1,6 +1,14 @@
 /** Placement: which task starts on which machine, and which tasks are preempted for it. */
 
-export { allowsMachine, allowsZone, leavesReserve, mayUseReserve, comparePending, machineFilterFor } from './fit.js';
+export {
+  allowsMachine,
+  allowsZone,
+  leavesReserve,
+  mayUseReserve,
+  comparePending,
+  machineFilterFor,
+  mayTryProbation,
+} from './fit.js';
 export type {
   MachineView,
   PendingJob,
--- a/src/service/service.ts
+++ b/src/service/service.ts
@@ -484,7 +484,7 @@
       requestRound: () => this.holderLoop.trigger(),
       recordWorkerContact: () => this.reachability.recordWorkerContact(),
       progressOf: (id) => this.router.progressOf(id),
-      findShardWithCapacity: (from, spec, count) => this.router.findOtherShard(from, spec, count),
+      findShardWithCapacity: (...wanted) => this.router.findOtherShard(...wanted),
     };
   }
 
--- a/src/service/shard-router.ts
+++ b/src/service/shard-router.ts
@@ -90,7 +90,7 @@
   }
 
   /** Another shard with capacity for `count` waiting tasks of a job now, or null. */
-  findOtherShard(from: ShardName, spec: JobSpec, count: number): ShardName | null {
+  findOtherShard(from: ShardName, spec: JobSpec, count: number, mayTry: boolean): ShardName | null {
     if (this.mustFollowAccount(spec)) {
       if (!this.deps.quotas.returning) return null;
       // Jobs that were routed elsewhere while limits were divided return to the shard that keeps the account.
@@ -102,7 +102,7 @@
       (s) => s.shard !== from && !(this.deps.holders.has(s.shard) && s.holder !== this.deps.self),
     );
     const fromSummary = currentSummaries.find((s) => s.shard === from);
-    return this.reserve(chooseMoveTarget(spec, count, fromSummary, candidates, this.deps.types()), spec);
+    return this.reserve(chooseMoveTarget(spec, count, fromSummary, candidates, this.deps.types(), mayTry), spec);
   }
 
   /** Numbers of running and done tasks of a job, as far as this node knows. */
--- a/test/leasing.test.ts
+++ b/test/leasing.test.ts
@@ -295,6 +295,7 @@
   for (const kind of ['array', 'service'] as const) {
     const waiting = spec({ id: 'j-2', kind, tasks: 3 });
     assert.equal(chooseMoveTarget(waiting, 3, busy, [none, trial], types), trial.shard);
+    assert.equal(chooseMoveTarget(waiting, 3, busy, [none, trial], types, false), null);
     assert.equal(chooseMoveTarget(waiting, 3, none, [reserveCapacity(job, trial)], types), null);
   }
   const gang = spec({ id: 'j-3', kind: 'gang', tasks: 5 });
--- a/test/machine-health.test.ts
+++ b/test/machine-health.test.ts
@@ -229,6 +229,8 @@
   const service = pendingJob(spec({ id: 'j-2', kind: 'service', priority: 3, tasks: 2 }));
   assert.equal(plan([probation], service).starts.length, 0);
   assert.equal(plan([probation], { ...service, unplacedS: 15 }).starts.length, 1);
+  // A job that was moved here has waited elsewhere.
+  assert.equal(plan([probation], { ...service, waitedS: 15 }).starts.length, 1);
   const gang = pendingJob(spec({ id: 'j-3', kind: 'gang', tasks: 2 }), { unplacedS: 15 });
   assert.equal(plan([probation], gang).starts.length, 2);
 });
