Try a job at fault in other shards too

What callers saw: a job whose shard has only bad machines was never started on the good machine of another shard.

Cause: after three machines the job counts as at fault and doesn't move, so that the machines that would clear it are never tried.

Change: when it is due to be tried, a job at fault first moves to a shard with room on a machine that it is not known to have failed on; once it has not failed for a minute, to any other shard with room.

--- a/packages/region/test/small-fleets.test.ts
+++ b/packages/region/test/small-fleets.test.ts
@@ -78,6 +78,23 @@
   for (const seed of [1, 2, 3]) assert.equal(await mostAtATimeAfterThreeMachines([0, 1, 2], seed), 1, `seed ${seed}`);
 });
 
+test('a job that has met only bad machines in its shard is tried on a good machine of another shard', async () => {
+  for (const machines of [
+    [0, 1, 2, 0],
+    [0, 0, 0, 0, 0, 0],
+  ]) {
+    for (const seed of [1, 2, 3]) {
+      const sound = [1, 2, 3, 4].map((tasks) => ({ ref: `j-sound-${tasks}`, atS: 20 + tasks * 20, runS: 6, tasks }));
+      const badMachines = machines.length === 4 ? [1, 2, 3] : [1, 2, 3, 4];
+      const jobs = [...servicesOnEachMachine(machines), ...sound];
+      const region = new Region(smallFleetDay({ seed, durationS: 220, machines, badMachines, jobs }));
+      await region.play();
+      assert.deepEqual(soundJobsLeft(region), [], `${machines.length} machines, seed ${seed}`);
+      region.close();
+    }
+  }
+});
+
 test('a bad machine that stays in a busy fleet for an hour costs one task at each trial', async () => {
   const machines = [0, 0];
   const arrays = Array.from({ length: 215 }, (_, n) => ({ ref: `j-${n}`, atS: 30 + n * 16, tasks: 6, runS: 8 }));
--- a/src/holder/deps.ts
+++ b/src/holder/deps.ts
@@ -7,6 +7,7 @@
   Incarnation,
   JobId,
   Logger,
+  MachineId,
   Millis,
   NodeName,
   Runtime,
@@ -27,6 +28,16 @@
   readonly drained: ReadonlySet<string>;
 }
 
+/** What a job needs of another shard. */
+export interface WantedCapacity {
+  /** Number of tasks that have to fit now. */
+  readonly count: number;
+  /** Whether a machine on probation will do. */
+  readonly mayTry: boolean;
+  /** Machines that don't count. */
+  readonly avoid: ReadonlySet<MachineId>;
+}
+
 /** What a shard's holder needs from the rest of the controller. */
 export interface HolderDeps {
   readonly self: NodeName;
@@ -71,11 +82,8 @@
   recordWorkerContact(): void;
   /** Numbers of running and done tasks of a job in any shard, as far as this node knows. */
   progressOf(id: JobId): { readonly running: number; readonly done: number };
-  /**
-   * Finds another shard that has capacity for `count` tasks of this job now, or, if `mayTry`, a machine on probation that
-   * the job may be tried on; null when there is none.
-   */
-  findShardWithCapacity(from: ShardName, spec: JobSpec, count: number, mayTry: boolean): ShardName | null;
+  /** Finds another shard that has the wanted capacity for the job now; null when there is none. */
+  findShardWithCapacity(from: ShardName, spec: JobSpec, wanted: WantedCapacity): ShardName | null;
 }
 
 /** Dependencies between jobs, as the holder needs them. */
--- a/src/holder/index.ts
+++ b/src/holder/index.ts
@@ -1,5 +1,5 @@
 /** The holder of a shard: runs the shard's jobs on its block of machines. */
-export type { HolderDeps, OperatorSettingsView, ReportReply } from './deps.js';
+export type { HolderDeps, OperatorSettingsView, ReportReply, WantedCapacity } from './deps.js';
 export * from './shard-holder.js';
 export { HeldMachine } from './held-machine.js';
 export { JobRun, orderedTask } from './job-run.js';
--- a/src/holder/job-failures.ts
+++ b/src/holder/job-failures.ts
@@ -1,4 +1,4 @@
-import type { MachineId } from '../kernel/index.js';
+import type { MachineId, Millis } from '../kernel/index.js';
 import { FailureHistory } from './failure-history.js';
 
 /** A task that exited with an error. */
@@ -29,6 +29,8 @@
   private readonly ofJob: FailureHistory;
   private readonly byTask = new Map<number, FailureHistory>();
   private longestFailedMs = 0;
+  /** When a task last failed in this shard. */
+  lastAt: Millis | null = null;
 
   /** `elsewhere`: machines on which the job failed before it came to this shard. */
   constructor(elsewhere: readonly MachineId[]) {
@@ -36,7 +38,8 @@
   }
 
   /** Records a failure. `machineHasWorkedSince`: tasks have run well on its machine since the job last failed there. */
-  record({ index, machine, ranMs }: TaskFailure, machineHasWorkedSince: boolean): void {
+  record({ index, machine, ranMs }: TaskFailure, now: Millis, machineHasWorkedSince: boolean): void {
+    this.lastAt = now;
     this.longestFailedMs = Math.max(this.longestFailedMs, ranMs);
     this.ofJob.record(machine, machineHasWorkedSince);
     this.historyOfTask(index).record(machine, machineHasWorkedSince);
--- a/src/holder/job-run.ts
+++ b/src/holder/job-run.ts
@@ -50,7 +50,7 @@
 });
 
 /** How long a job avoids a machine on which a task of it failed or was restarted. */
-const AVOID_MACHINE_MS = 60_000;
+export const AVOID_MACHINE_MS = 60_000;
 /** Retry backoff of a job that fails on every machine. */
 const INITIAL_BACKOFF_MS = 2000;
 const MAX_BACKOFF_MS = 60_000;
@@ -58,7 +58,9 @@
 const MAX_RECORDED_RUNS = 100;
 /** Machines on which a job has failed that its record names when it moves to another shard. */
 const MAX_REPORTED_MACHINES = 3;
-const NO_MACHINES: ReadonlySet<MachineId> = new Set();
+/** Minimum time between two attempts to move a job; summaries of other shards are not updated more often. */
+const MOVE_RETRY_MS = 1500;
+export const NO_MACHINES: ReadonlySet<MachineId> = new Set();
 const NO_PIPELINES = { inherited: (): null => null, readyAt: (): null => null };
 
 /** Run-time state of an open job on the node that holds its shard. */
@@ -101,7 +103,7 @@
   /** A write that moves the job to another shard is in flight. */
   moving = false;
   /** When a move to another shard was last attempted. */
-  lastMoveAttemptAt: Millis | null = null;
+  private lastMoveAttemptAt: Millis | null = null;
   /** Its completion is not written before this time, after a write that failed. */
   finishNotBefore: Millis;
   /** Lower bound of the first index that is not done: all tasks below it are done. */
@@ -245,7 +247,7 @@
    * `machineHasWorkedSince`: tasks have run well on its machine since the job last failed there.
    */
   noteFailure(failure: TaskFailure, now: Millis, jitter: number, machineHasWorkedSince = false): void {
-    this.failures.record(failure, machineHasWorkedSince);
+    this.failures.record(failure, now, machineHasWorkedSince);
     this.avoidMachine(failure.machine, now);
     this.noteAllRunning(now);
     if (!this.failsEverywhere || now < this.notBefore) return;
@@ -254,6 +256,13 @@
     this.notBefore = millis(now + backoffMs * (0.75 + jitter / 2));
   }
 
+  /** Whether a move to another shard may be attempted now; if so, that counts as an attempt. */
+  mayAttemptMove(now: Millis): boolean {
+    if (this.lastMoveAttemptAt !== null && now - this.lastMoveAttemptAt < MOVE_RETRY_MS) return false;
+    this.lastMoveAttemptAt = now;
+    return true;
+  }
+
   /** Avoids a machine after a failure or restart there: one that fails tasks at once always has free capacity. */
   avoidMachine(machine: MachineId, now: Millis): void {
     this.avoid.set(machine, millis(now + AVOID_MACHINE_MS));
--- a/src/holder/moves.ts
+++ b/src/holder/moves.ts
@@ -12,8 +12,9 @@
   type MachineInsertion,
 } from '../membership/index.js';
 import { Urgency, jobKey, shardKey } from '../state/index.js';
+import type { WantedCapacity } from './deps.js';
 import type { HeldMachine } from './held-machine.js';
-import type { JobRun } from './job-run.js';
+import { AVOID_MACHINE_MS, NO_MACHINES, type JobRun } from './job-run.js';
 
 /**
  * Minimum time between job moves. Each is a write, and many small jobs must not use up the writes that accepting and
@@ -43,13 +44,13 @@
     this.lastJobMoveAt = millis(held.since - MOVE_INTERVAL_MS);
   }
 
-  /** Moves a job to a shard where it can start, or be tried if `mayTry`. Only a job without tasks that may be on a machine here can move. */
-  moveJob(run: JobRun, count: number, now: Millis, mayTry: boolean): void {
+  /** Moves a job to a shard with the wanted capacity. Only a job without tasks that may be on a machine here can move. */
+  moveJob(run: JobRun, wanted: WantedCapacity, now: Millis): void {
     if (run.active.size > 0 || run.storeInProgress || run.moving || this.held.unfencedMachines.size > 0) return;
     if (this.held.taskIndex.hasTasksOf(run.id)) return;
     // The search counts as a move as well: it checks every machine of the other blocks.
     this.lastJobMoveAt = now;
-    const to = this.held.deps.findShardWithCapacity(this.held.shard, run.spec, count, mayTry);
+    const to = this.held.deps.findShardWithCapacity(this.held.shard, run.spec, wanted);
     if (to === null || to === this.held.shard) return;
     run.moving = true;
     const key = jobKey(run.id);
@@ -95,8 +96,20 @@
   }
 
   /** Moves a job unless the last move was less than `MOVE_INTERVAL_MS` ago. */
-  moveJobIfDue(run: JobRun, now: Millis, count = 1, mayTry = true): void {
-    if (now - this.lastJobMoveAt >= MOVE_INTERVAL_MS) this.moveJob(run, count, now, mayTry);
+  moveJobIfDue(run: JobRun, now: Millis, wanted: WantedCapacity): void {
+    if (now - this.lastJobMoveAt >= MOVE_INTERVAL_MS) this.moveJob(run, wanted, now);
+  }
+
+  /**
+   * Moves a job that fails on every machine to a shard where it has not been tried, or to any other shard once it has
+   * not failed here for as long as it avoids a machine: the machines of this shard may all be at fault.
+   */
+  moveFailingJob(run: JobRun, now: Millis): void {
+    const { lastAt, machines } = run.failures;
+    if (lastAt === null || !run.mayAttemptMove(now)) return;
+    const avoid = now - lastAt < AVOID_MACHINE_MS ? new Set(machines) : NO_MACHINES;
+    const count = run.spec.kind === 'gang' ? run.spec.tasks : 1;
+    this.moveJobIfDue(run, now, { count, mayTry: true, avoid });
   }
 
   /**
--- a/src/holder/shard-holder.ts
+++ b/src/holder/shard-holder.ts
@@ -19,6 +19,7 @@
 import { nextCommandOrders, type Order } from '../workers/index.js';
 import type { TeamNeed } from '../quota/index.js';
 import { keepsGpuMachineInUse } from './booking.js';
+import { NO_MACHINES } from './job-run.js';
 import type { HeldMachine } from './held-machine.js';
 import { logOrders } from './order-log.js';
 
@@ -100,7 +101,9 @@
     }
     if (sweep) {
       if (this.deps.quotas.isReturning())
-        this.teamQuotas.relocateWorkAccountedElsewhere((run) => this.moves.moveJobIfDue(run, now));
+        this.teamQuotas.relocateWorkAccountedElsewhere((run) =>
+          this.moves.moveJobIfDue(run, now, { count: 1, mayTry: true, avoid: NO_MACHINES }),
+        );
       for (const [id, machine] of this.machines) this.sendOrders(machine, orders.get(id) ?? [], now);
       this.moves.transferEmptyMachines(now);
       return;
--- a/src/holder/task-placer.ts
+++ b/src/holder/task-placer.ts
@@ -25,7 +25,7 @@
 } from '../placement/index.js';
 import type { Order } from '../workers/index.js';
 import type { HeldMachine } from './held-machine.js';
-import { orderedTask, type JobRun } from './job-run.js';
+import { NO_MACHINES, orderedTask, type JobRun } from './job-run.js';
 import { ATTEMPTS_PER_CLAIM } from './unexpected-tasks.js';
 
 /** The larger of two reserves, by resource. */
@@ -37,8 +37,7 @@
 const MAX_READY_TASKS = 100;
 /** A job takes on its dependents' full priority once its deadline leaves less time than this beyond its own run. */
 const INHERIT_PRIORITY_SLACK_S = 40;
-/** Limits on moving waiting jobs to other shards: minimum time between attempts for a job, and attempts per round. */
-const JOB_MOVE_RETRY_MS = 1500;
+/** Attempts to move waiting jobs to other shards per round. */
 const MAX_JOB_MOVES_PER_ROUND = 2;
 /** A job has to wait this long before it is moved. */
 const JOB_MOVE_AFTER_MS = 1200;
@@ -178,6 +177,8 @@
       if (run.failsEverywhere) run.noteAllRunning(now);
       // The next task is tried only when the last has failed, or has shown that the job works.
       if (run.failsEverywhere && run.active.size > 0) continue;
+      if (run.failsEverywhere) this.moves.moveFailingJob(run, now);
+      if (run.moving) continue;
       const most = run.failsEverywhere ? 1 : MAX_READY_TASKS;
       const ready = run.ready(run.spec.kind === 'gang' ? run.spec.tasks : most);
       if (ready.length === 0) {
@@ -303,7 +304,7 @@
       const run = this.held.jobs.get(job);
       if (!run) continue;
       run.unplacedSince ??= now;
-      // No machine is rented for a job that fails on every machine, and it is not moved.
+      // No machine is rented for a job that fails on every machine.
       if (run.failsEverywhere) continue;
       // A short wait is due to a command in flight, not to a lack of machines.
       if (now - run.unplacedSince < 150) continue;
@@ -323,11 +324,9 @@
         gpus: run.spec.gpus,
       });
       if (now - run.unplacedSince <= JOB_MOVE_AFTER_MS || moveAttempts >= MAX_JOB_MOVES_PER_ROUND) continue;
-      // Capacity elsewhere is known from the summaries of other shards, which are not updated more often than this.
-      if (run.lastMoveAttemptAt !== null && now - run.lastMoveAttemptAt < JOB_MOVE_RETRY_MS) continue;
-      run.lastMoveAttemptAt = now;
+      if (!run.mayAttemptMove(now)) continue;
       moveAttempts += 1;
-      this.moves.moveJobIfDue(run, now, count, mayTry.has(job));
+      this.moves.moveJobIfDue(run, now, { count, mayTry: mayTry.has(job), avoid: NO_MACHINES });
     }
   }
 }
--- a/src/service/shard-router.ts
+++ b/src/service/shard-router.ts
@@ -1,6 +1,6 @@
 import type { MachineType } from '../cloud/index.js';
 import type { TeamQuota } from '../config/index.js';
-import type { ShardHolder } from '../holder/index.js';
+import type { ShardHolder, WantedCapacity } from '../holder/index.js';
 import type { JobSpec } from '../jobs/index.js';
 import type { Clock, JobId, Millis, NodeName, ShardName } from '../kernel/index.js';
 import { chooseMoveTarget, reserveCapacity, chooseShard } from '../leasing/index.js';
@@ -90,7 +90,7 @@
   }
 
   /** Another shard with capacity for `count` waiting tasks of a job now, or null. */
-  findOtherShard(from: ShardName, spec: JobSpec, count: number, mayTry: boolean): ShardName | null {
+  findOtherShard(from: ShardName, spec: JobSpec, { count, mayTry, avoid }: WantedCapacity): ShardName | null {
     if (this.mustFollowAccount(spec)) {
       if (!this.deps.quotas.returning) return null;
       // Jobs that were routed elsewhere while limits were divided return to the shard that keeps the account.
@@ -98,9 +98,9 @@
       return account === from ? null : account;
     }
     const { currentSummaries } = this;
-    const candidates = currentSummaries.filter(
-      (s) => s.shard !== from && !(this.deps.holders.has(s.shard) && s.holder !== this.deps.self),
-    );
+    const candidates = currentSummaries
+      .filter((s) => s.shard !== from && !(this.deps.holders.has(s.shard) && s.holder !== this.deps.self))
+      .map((s) => (avoid.size === 0 ? s : { ...s, machines: s.machines.filter(({ id }) => !avoid.has(id)) }));
     const fromSummary = currentSummaries.find((s) => s.shard === from);
     return this.reserve(chooseMoveTarget(spec, count, fromSummary, candidates, this.deps.types(), mayTry), spec);
   }
