Move the removal of machines from blocks out of the leader

By moves and names alone: the function that removes deleted machines from all blocks has a file of its own, its number of attempts a name.

--- a/src/leasing/leader.ts
+++ b/src/leasing/leader.ts
@@ -15,7 +15,6 @@
   maxBlockMachines,
   encodePage,
   addMachines,
-  removeMachines,
   settlePendingWrites,
   type BlockMachine,
   type KnownShard,
@@ -29,13 +28,13 @@
   JOBS_PREFIX,
   LEADER_KEY,
   PAGES_PREFIX,
-  reread,
   shardKey,
   Urgency,
   type Mirror,
   type StateClient,
 } from '../state/index.js';
 import type { WorkerMessage } from '../workers/index.js';
+import { removeFromBlocks } from './block-removal.js';
 import { machineKindKey, type PlannedRent, type UnassignedMachine } from './capacity.js';
 import { ASSIGNMENT_POLICY, planAssignments } from './plan.js';
 import { splitIntoCalls } from './rents.js';
@@ -95,8 +94,6 @@
 const TRANSFER_RETRY_MS = 3000;
 /** How long a round waits for the watch to catch up before the round is skipped. */
 const CATCH_UP_TIMEOUT_MS = 1500;
-/** Limit on the pages that one transaction changes when machines are removed from blocks. */
-const MAX_PAGES_PER_REMOVAL_TXN = 4;
 /** Written in place of a page that does not exist yet. Its epoch 0 is one that no head record refers to. */
 const EMPTY_PAGE = encodePage(0, []);
 
@@ -161,16 +158,8 @@
     let known = this.known.get(id);
     if (!known) {
       known = {
-        id,
-        type,
-        zone,
-        spot,
-        rentedAt,
-        reportedAt: null,
-        address: '',
-        listedAt: null,
-        phase: 'booting',
-        deletionRequested: false,
+        ...{ id, type, zone, spot, rentedAt },
+        ...{ reportedAt: null, address: '', listedAt: null, phase: 'booting', deletionRequested: false },
       };
       this.known.set(id, known);
     }
@@ -429,34 +418,7 @@
       this.deps.trail?.record({ kind: 'returned', machine: id, why: 'lost or faulty' });
       this.lastRequestAt.set(id, now);
     }
-    await this.removeFromBlocks(new Set(ids));
-  }
-
-  /** Removes machines from all blocks, in up to three attempts. */
-  private async removeFromBlocks(ids: ReadonlySet<MachineId>): Promise<void> {
-    const { state, mirror, shards } = this.deps;
-    for (let tries = 0; tries < 3; tries++) {
-      const changes = [...shards.all].flatMap(([name, known]) =>
-        removeMachines(name, known, ids).map(({ change }) => change),
-      );
-      if (changes.length === 0) return;
-      // Whole records are written one per transaction: several of them may exceed the transaction's size limit.
-      const whole = changes.some(({ ops }) => ops.some((op) => 'put' in op && !op.put.startsWith(PAGES_PREFIX)));
-      const changesPerTxn = whole ? 1 : Math.max(1, Math.min(state.limits.txnOps, MAX_PAGES_PER_REMOVAL_TXN));
-      for (let at = 0; at < changes.length; at += changesPerTxn) {
-        const term = this.deps.leaderTerm();
-        if (term === null) return;
-        const batch = changes.slice(at, at + changesPerTxn);
-        const guards = [...batch.flatMap((change) => change.guards), { key: LEADER_KEY, version: term as number }];
-        const ops = batch.flatMap((change) => change.ops);
-        const result = await state.txn(Urgency.shard, guards, ops);
-        if (result.kind === 'ok') {
-          mirror.applyTxn(ops, result.revision);
-          continue;
-        }
-        for (const { key } of batch.flatMap((change) => change.guards)) await reread(state, mirror, key);
-      }
-    }
+    await removeFromBlocks(this.deps, new Set(ids));
   }
 
   /**
