--- a/packages/region/test/small-fleets.test.ts
+++ b/packages/region/test/small-fleets.test.ts
@@ -45,6 +45,24 @@
     assert.deepEqual(await play(drawTransientFaults(seed)), [], `seed ${seed}`);
 });
 
+test('no machine is given back because of jobs with a mistake', async () => {
+  for (const seed of [1, 2, 3, 4, 5, 6]) {
+    const fleet = drawMistakes(seed);
+    const logs: string[] = [];
+    const controllerLog = { level: 'info', write: (line: string) => logs.push(line) };
+    const jobs = fleet.jobs.filter(({ ref }) => !ref.startsWith('j-service'));
+    const region = new Region({ ...smallFleetDay({ ...fleet, jobs }), controllerLog });
+    await region.play(150);
+    region.close();
+    assert.ok(logs.length > 0);
+    assert.deepEqual(
+      logs.filter((line) => line.includes('lost or faulty')),
+      [],
+      `seed ${seed}`,
+    );
+  }
+});
+
 /** Time in which the controllers have learned from the reports that a task has failed. */
 const REPORTED_WITHIN_MS = 5000;
 
