Keep failures of other jobs when one job fails many tasks on a machine

Fifty failures are remembered of a machine, and a job with a mistake could push those of all other jobs out, so that a bad machine counted as healthy.

Change: ten failures are remembered of one job. A failure whose task has worked elsewhere no longer keeps its job in memory. A machine with accelerators on probation isn't moved to another shard for a gang while tasks are on it.

--- a/src/holder/machine-health.ts
+++ b/src/holder/machine-health.ts
@@ -37,13 +37,13 @@
 export const HEALTHY: MachineAssessment = { state: 'healthy', faulty: false, suspicion: 0, startLimit: Infinity };
 
 interface RecordedFailure {
-  readonly job: FailedJob;
+  readonly jobId: JobId;
+  /** Null once the task has worked elsewhere: then the job is asked no more. */
+  job: FailedJob | null;
   readonly failure: TaskFailure;
   readonly at: Millis;
   /** Whether the machine was on probation. */
   readonly onProbation: boolean;
-  /** Set once the task has worked elsewhere. */
-  proven: boolean;
 }
 
 /** A failure that is not known to be its job's fault, with what else it is evidence of. */
@@ -53,6 +53,8 @@
 const MIN_FAILURES = 3;
 const MIN_FAILED_JOBS = 2;
 const MAX_RECORDED_FAILURES = 50;
+/** Failures that are recorded of one job, so that it can't push out those of others. */
+const MAX_RECORDED_FAILURES_OF_JOB = 10;
 /** Older failures do not make a machine faulty or suspect. */
 const RECENT_FAILURE_MS = 180_000;
 /** Older failures are forgotten, also those of a machine that nothing was tried on since. */
@@ -97,8 +99,12 @@
 
   /** Records that a task failed here. */
   recordFailure(job: FailedJob, failure: TaskFailure, now: Millis, onProbation: boolean): void {
-    this.failures.push({ job, failure, at: now, onProbation, proven: false });
-    if (this.failures.length > MAX_RECORDED_FAILURES) this.failures.shift();
+    const ofJob = this.failures.filter(({ jobId }) => jobId === job.id);
+    const [oldestOfJob] = ofJob;
+    if (ofJob.length >= MAX_RECORDED_FAILURES_OF_JOB)
+      this.failures = this.failures.filter((recorded) => recorded !== oldestOfJob);
+    else if (this.failures.length >= MAX_RECORDED_FAILURES) this.failures.shift();
+    this.failures.push({ jobId: job.id, job, failure, at: now, onProbation });
   }
 
   /** Takes over the previous holder's verdict that the machine is faulty. */
@@ -122,7 +128,7 @@
 
   /** Whether a task that was started after the last failure of the job here has run well. */
   hasWorkedSinceFailureOf(job: JobId): boolean {
-    const last = this.failures.filter((recorded) => recorded.job.id === job).at(-1);
+    const last = this.failures.filter(({ jobId }) => jobId === job).at(-1);
     return last ? this.goodStartsAfter(last.at) > 0 : this.hasRecovered;
   }
 
@@ -135,7 +141,7 @@
     this.failures = this.failures.filter(({ at }) => now - at < FAILURE_MEMORY_MS);
     const judged: JudgedFailure[] = [];
     for (const recorded of this.failures) {
-      const outcome = recorded.job.ended ? this.outcomeOf(recorded.job.id) : 'open';
+      const outcome = recorded.job?.ended === true ? this.outcomeOf(recorded.jobId) : 'open';
       const cause = causeNow(recorded, outcome, now);
       if (cause !== 'job') judged.push({ ...recorded, cause });
       else if (outcome === 'cancelled') this.failures = this.failures.filter((other) => other !== recorded);
@@ -211,10 +217,8 @@
 
 /** What a recorded failure is evidence of now. Once a task has worked elsewhere, that can't change any more. */
 function causeNow(recorded: RecordedFailure, outcome: JobOutcome, now: Millis): FailureCause {
-  recorded.proven ||= outcome === 'done';
-  if (recorded.proven) return 'machine';
-  const cause = recorded.job.causeOf(recorded.failure, now);
-  recorded.proven = cause === 'machine';
+  const cause = outcome === 'done' ? 'machine' : (recorded.job?.causeOf(recorded.failure, now) ?? 'machine');
+  if (cause === 'machine') recorded.job = null;
   if (outcome === 'works' && cause === 'unknown') return 'suspected-machine';
   if (outcome !== 'cancelled' || cause === 'machine') return cause;
   return cause === 'suspected-machine' ? 'unknown' : 'job';
@@ -222,7 +226,7 @@
 
 /** Whether these failures are enough to hold them against the machine. */
 function speakAgainstMachine(failures: readonly JudgedFailure[]): boolean {
-  const jobs = new Set(failures.map(({ job }) => job.id));
+  const jobs = new Set(failures.map(({ jobId }) => jobId));
   return failures.length >= MIN_FAILURES || jobs.size >= MIN_FAILED_JOBS;
 }
 
--- a/src/leasing/plan.ts
+++ b/src/leasing/plan.ts
@@ -115,7 +115,7 @@
     if (!type) continue;
     // Its holder would no longer know what was found out about it.
     if (entry.machine.onProbation) {
-      stillIdle.push(entry);
+      if (entry.machine.empty) stillIdle.push(entry);
       continue;
     }
     const capacity = totalCapacity(type, entry.machine.zone, entry.machine.spot);
--- a/test/machine-health.test.ts
+++ b/test/machine-health.test.ts
@@ -70,6 +70,21 @@
   assert.equal(fleet.machine(1).hasFailures, false);
 });
 
+test('a burst of failures of a job at fault does not hide what other jobs have shown of the machine', () => {
+  const fleet = new Fleet();
+  for (const id of ['j-1', 'j-2']) fleet.fail(newRun({ id }), 1, 0, [0]);
+  const bad = newRun({ id: 'j-bad', tasks: 200 });
+  for (const n of [1, 2, 3])
+    fleet.fail(
+      bad,
+      n,
+      1,
+      Array.from({ length: 100 }, (_, index) => index),
+    );
+  assert.ok(bad.failsEverywhere);
+  assert.equal(fleet.state(1, 2), 'suspended');
+});
+
 test('a machine that nothing has shown to be at fault is not given back', () => {
   const fleet = new Fleet();
   const run = newRun({ id: 'j-1', tasks: 10 });
