Tests of guards that no test caught, and of the ends of verdicts

Found on rereading, by removing each guard by hand in the compiled sources: the cap of failures of one job, the causes of jobs that were moved or cancelled, gangs as one trial, starts from before a failure, tasks of an earlier holder, one task counting once, the cost of a report with many failures, preemption and exhausted classes beside probation, reads of final records, a lent accelerator machine on probation, and that suspicion and probation end. Each fails at least one unit test now.

--- a/packages/region/test/small-fleets.test.ts
+++ b/packages/region/test/small-fleets.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { Region } from '../src/index.js';
+import { Region, type Fault } from '../src/index.js';
 import {
   drawMistakes,
   drawMistakesAndHandovers,
@@ -157,19 +157,26 @@
 
 for (const earlier of EARLIER_RELEASES) {
   test(`a rollout from ${earlier} to this release, and back, breaks no rule while jobs have mistakes`, async () => {
-    for (const [from, to] of [
-      [earlier, 'this'],
-      ['this', earlier],
+    for (const [from, to, order] of [
+      [earlier, 'this', [0, 1, 2]],
+      [earlier, 'this', [2, 1, 0]],
+      ['this', earlier, [0, 1, 2]],
+      ['this', earlier, [2, 1, 0]],
     ] as const) {
       const { day, script } = smallFleetDay(drawMistakesAndHandovers(3));
       const controllers = { ...day.controllers, releases: [from, from, from] };
-      const rollout = { kind: 'rollout', at_s: 45, gap_s: 12, to, leave: from === 'this', down_s: 2 } as const;
+      const times = { at_s: 45, gap_s: 12, down_s: 2 };
+      const rollout: Fault = { kind: 'rollout', ...times, to, order: [...order], leave: from === 'this' };
       const region = new Region({ day: { ...day, controllers, troubles: [rollout] }, script });
       await region.play();
       const { breaches, defects } = region.close();
       // Where an earlier release holds the machines at the end, its own fault remains.
       const allowed = to === 'this' ? [] : ['left_waiting'];
-      assert.deepEqual([breaches.filter(({ rule }) => !allowed.includes(rule)), defects], [[], []], `${from} to ${to}`);
+      assert.deepEqual(
+        [breaches.filter(({ rule }) => !allowed.includes(rule)), defects],
+        [[], []],
+        `${from} to ${to}, ${order.join(' ')}`,
+      );
     }
   });
 }
--- a/src/holder/index.ts
+++ b/src/holder/index.ts
@@ -4,7 +4,7 @@
 export { HeldMachine } from './held-machine.js';
 export { JobRun, orderedTask } from './job-run.js';
 export type { TaskFailure } from './job-failures.js';
-export type { JobOutcome } from './job-outcomes.js';
+export { JobOutcomes, type JobOutcome } from './job-outcomes.js';
 export { MachineHealth, type MachineState } from './machine-health.js';
 export { ordersToForget } from './forget-orders.js';
 export { mustStopBeforeReclaim } from './evictions.js';
--- a/test/faulty-jobs.test.ts
+++ b/test/faulty-jobs.test.ts
@@ -14,6 +14,7 @@
   shardName,
   SocketBudget,
   systemRuntime,
+  taskKey,
   wallMillis,
   type Millis,
 } from '../src/kernel/index.js';
@@ -29,6 +30,21 @@
   return new JobRun(record, revision(1), revision(1), millis(0));
 };
 const m = (n: number): ReturnType<typeof machineId> => machineId(`m-${n}`);
+/** A machine as its holder keeps it. */
+function heldMachine(): HeldMachine {
+  const clock = { now: () => millis(0), wall: () => wallMillis(0) };
+  const info = { id: m(1), type: 't', zone: 'z', spot: false, address: '' };
+  const hooks = { heard: (): void => undefined, superseded: (): void => undefined, outcomeOf: (): 'open' => 'open' };
+  return new HeldMachine(
+    info,
+    revision(1),
+    { ...systemRuntime, ...clock },
+    createLogger('silent', 't'),
+    new TaskIndex(),
+    hooks,
+    new SocketBudget(10),
+  );
+}
 /** A failure of a task on machine `n`, right after its start. */
 const failed = (index: number, n: number): TaskFailure => ({ index, machine: m(n), ranMs: 0 });
 
@@ -62,18 +78,7 @@
 });
 
 test('a machine gets no tasks if several jobs fail there or its last holder says so; a job at fault does not count', () => {
-  const clock = { now: () => millis(0), wall: () => wallMillis(0) };
-  const info = { id: m(1), type: 't', zone: 'z', spot: false, address: '' };
-  const hooks = { heard: (): void => undefined, superseded: (): void => undefined, outcomeOf: (): 'open' => 'open' };
-  const machine = new HeldMachine(
-    info,
-    revision(1),
-    { ...systemRuntime, ...clock },
-    createLogger('silent', 't'),
-    new TaskIndex(),
-    hooks,
-    new SocketBudget(10),
-  );
+  const machine = heldMachine();
   const stateAt = (now: number): string => machine.assess(millis(now)).state;
   const bad = run({ id: 'j-bad', tasks: 10 });
   for (let i = 0; i < 3; i++) machine.noteFailure(bad, { index: i, ranMs: 0 }, millis(1), 0.5);
@@ -141,3 +146,32 @@
   job.noteFailure(failed(0, 0), millis(11_000), 0.5);
   assert.equal(job.failsEverywhere, false);
 });
+
+test('tasks of an earlier holder do not show that a machine works, and each own task does once', () => {
+  const machine = heldMachine();
+  const state = (): string => machine.assess(millis(60_000)).state;
+  for (const id of ['j-1', 'j-2']) machine.noteFailure(run({ id }), { index: 0, ranMs: 0 }, millis(1), 0.5);
+  const task = (n: number, adopted: boolean): ReturnType<typeof orderedTask> =>
+    orderedTask({ index: n, attempt: attempt(n) }, m(1), millis(2), { adopted });
+  for (const n of [1, 2, 3]) machine.noteWorked(task(n, true), millis(60_000));
+  assert.equal(state(), 'probation');
+  const own = task(4, false);
+  for (let times = 0; times < 3; times++) machine.noteWorked(own, millis(60_000));
+  assert.equal(state(), 'probation');
+  for (const n of [5, 6]) machine.noteWorked(task(n, false), millis(60_000));
+  assert.equal(state(), 'healthy');
+});
+
+test('failures of many tasks in one report do not each look at all tasks of the machine', () => {
+  const machine = heldMachine();
+  const job = run({ id: 'j-1', tasks: 2000 });
+  let reads = 0;
+  for (let index = 0; index < 2000; index++) {
+    const task = orderedTask({ index, attempt: attempt(1) }, m(1), millis(0), { adopted: false });
+    const read = (): null => ((reads += 1), null);
+    const counted = Object.defineProperty(task, 'runningAt', { get: read });
+    machine.active.set(taskKey(job.id, index), { run: job, task: counted });
+  }
+  for (let index = 0; index < 500; index++) machine.noteFailure(job, { index, ranMs: 0 }, millis(2000), 0.5);
+  assert.ok(reads <= 2 * 2000, `${reads} reads`);
+});
--- a/test/leasing.test.ts
+++ b/test/leasing.test.ts
@@ -314,6 +314,21 @@
   );
 });
 
+test('a machine with accelerators on probation is not moved to another shard for an urgent gang', () => {
+  const types = new Map([['small', type('small', 1, 0.2, { gpus: 2 })]]);
+  const gang = spec({ id: 'j-1', kind: 'gang', tasks: 1, gpus: 1 });
+  const lent = { empty: false, idleMs: 5000, freeGpus: 2 };
+  const transfersOf = (over: Partial<MachineSummary>): number => {
+    const shards = [
+      shard('s1', [machine('m1', { ...lent, ...over })]),
+      shard('s2', [], [{ ...demand('j-1', 1), gpus: 1 }]),
+    ];
+    return planAssignments(input([gang], shards, { types })).transfers.length;
+  };
+  assert.equal(transfersOf({}), 1);
+  assert.equal(transfersOf({ usable: false, onProbation: true }), 0);
+});
+
 test('a job leaves a shard without machines for it, also when no other shard has room for all of it', () => {
   const types = new Map([['small', type('small', 1, 0.2)]]);
   const none = shard('s1', []);
--- a/test/machine-health.test.ts
+++ b/test/machine-health.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import { spec } from './standins/jobs.js';
 import { machineView, pendingJob } from './standins/placement.js';
-import { JobRun, MachineHealth, type JobOutcome, type MachineState } from '../src/holder/index.js';
+import { JobOutcomes, JobRun, MachineHealth, type JobOutcome, type MachineState } from '../src/holder/index.js';
 import { decodeJobRecord, encodeJobRecord } from '../src/jobs/index.js';
 import { BitSet, jobId, machineId, millis, revision, shardName, wallMillis, type JobId } from '../src/kernel/index.js';
 import { planPlacement, type Plan } from '../src/placement/index.js';
@@ -249,3 +249,108 @@
   const gang = pendingJob(spec({ id: 'j-3', kind: 'gang', tasks: 2 }), { unplacedS: 15 });
   assert.equal(plan([probation], gang).starts.length, 2);
 });
+
+test('failures that nothing was tried after are forgotten: suspicion after 180 s, probation after half an hour', () => {
+  const fleet = new Fleet();
+  fleet.fail(newRun({ id: 'j-1', tasks: 3 }), 1, 0);
+  const suspicionAt = (atS: number): number => fleet.machine(1).assess(millis(atS * SECOND), () => []).suspicion;
+  assert.deepEqual([suspicionAt(179), suspicionAt(181)], [3, 0]);
+  assert.deepEqual([fleet.state(1, 1799), fleet.state(1, 1801)], ['probation', 'healthy']);
+});
+
+test('a start on probation that shows nothing for half a minute makes way for the next', () => {
+  const fleet = new Fleet();
+  fleet.fail(newRun({ id: 'j-1', tasks: 3 }), 1, 0);
+  const limitAt = (atS: number): number =>
+    fleet.machine(1).assess(millis(atS * SECOND), () => [{ startedAt: millis(20 * SECOND), gang: null }]).startLimit;
+  assert.deepEqual([limitAt(21), limitAt(49), limitAt(51)], [0, 0, 1]);
+});
+
+test('the tasks of a gang are one trial, and tasks from before the last failure are none', () => {
+  const fleet = new Fleet();
+  fleet.fail(newRun({ id: 'j-1', tasks: 3 }), 1, 10);
+  fleet.work(1, 30);
+  const limitWith = (startedAtS: number, gang: JobId | null): number => {
+    const task = { startedAt: millis(startedAtS * SECOND), gang };
+    return fleet.machine(1).assess(millis(31 * SECOND), () => [task, task]).startLimit;
+  };
+  assert.deepEqual([limitWith(30, jobId('j-2')), limitWith(30, null), limitWith(9, null)], [2, 1, 3]);
+});
+
+test('a job that failed before a machine recovered, and fails there again, is at fault', () => {
+  const fleet = new Fleet();
+  const bad = newRun({ id: 'j-bad', tasks: 10 });
+  fleet.fail(bad, 1, 0);
+  for (const startS of [20, 31, 32]) fleet.work(1, startS);
+  assert.equal(fleet.machine(1).hasFailures, false);
+  fleet.fail(bad, 1, 60);
+  assert.ok(bad.failsEverywhere);
+});
+
+test('a job that may not be tried on probation does not keep another of its kind from being tried there', () => {
+  const machines = [machineView('m-1', { startLimit: 1 })];
+  const service = (id: string): ReturnType<typeof spec> => spec({ id, kind: 'service', priority: 3 });
+  const pending = [pendingJob(service('j-1')), pendingJob(service('j-2'), { unplacedS: 15 })];
+  const { starts } = planPlacement({ machines, pending, teams: new Map(), maxStarts: 10, reserve: null });
+  assert.deepEqual(
+    starts.map(({ job }) => job),
+    ['j-2'],
+  );
+});
+
+test('nothing is preempted on a machine on probation', () => {
+  const victim = {
+    job: jobId('j-9'),
+    index: 0,
+    priority: 0 as const,
+    cpus: 4,
+    gpus: 0,
+    memoryGb: 1,
+    lossS: 0,
+    stopping: false,
+  };
+  const full = { freeCpus: 0, running: [victim] };
+  const stopsOn = (startLimit: number, kind: 'service' | 'gang'): number =>
+    planPlacement({
+      machines: [machineView('m-1', { ...full, startLimit })],
+      pending: [pendingJob(spec({ id: 'j-1', kind, priority: 3 }), { unplacedS: 15 })],
+      ...{ teams: new Map(), maxStarts: 10, reserve: null },
+    }).stops.length;
+  for (const kind of ['service', 'gang'] as const)
+    assert.deepEqual([stopsOn(Infinity, kind), stopsOn(1, kind)], [1, 0]);
+});
+
+/** What has become of a job, as a holder finds out with these final records, open jobs and task counts. */
+function outcomesWith(known: { final?: 'done' | 'cancelled'; open?: boolean; running?: number; done?: number }) {
+  const clock = { now: 0, reads: 0 };
+  const outcomes = new JobOutcomes({
+    registry: {
+      cachedFinalOf: () => (known.final ? { phase: known.final, done: 0, at: null } : undefined),
+      isKnownEnded: () => false,
+      readState: () => {
+        clock.reads += 1;
+        return Promise.resolve({ kind: 'absent' });
+      },
+    },
+    mirror: { get: () => (known.open === true ? {} : undefined) },
+    runtime: { now: () => millis(clock.now) },
+    progressOf: () => ({ running: known.running ?? 0, done: known.done ?? 0 }),
+    requestRound: () => undefined,
+  } as never);
+  return { clock, at: (atS: number): JobOutcome => ((clock.now = atS * SECOND), outcomes.of(jobId('j-1'))) };
+}
+
+test('a job that was moved works once a task of it is done in another shard or runs there for ten seconds', () => {
+  assert.equal(outcomesWith({ final: 'done' }).at(0), 'done');
+  assert.equal(outcomesWith({ final: 'cancelled' }).at(0), 'cancelled');
+  assert.equal(outcomesWith({ open: true }).at(0), 'open');
+  assert.equal(outcomesWith({ open: true, done: 1 }).at(0), 'works');
+  const running = outcomesWith({ open: true, running: 1 });
+  assert.deepEqual([running.at(0), running.at(9), running.at(10)], ['open', 'open', 'works']);
+});
+
+test('the final record of a job that has left is read at most once in five seconds', () => {
+  const gone = outcomesWith({});
+  for (let atS = 0; atS < 20; atS += 0.25) assert.equal(gone.at(atS), 'open');
+  assert.equal(gone.clock.reads, 4);
+});
